--- a/benches/policy.rs
+++ b/benches/policy.rs
@@ -64,6 +64,10 @@
             organisation: handle::Organisation(1),
             weight: 1,
             repeatable: true,
+            attempts: 4,
+            priority: 0,
+            objective: None,
+            answer_bytes: 0,
             deadline: self.now + Duration::from_secs(5),
             fingerprint: Some(handle::Fingerprint(self.requests)),
         }));
--- a/crates/cluster/examples/cost.rs
+++ b/crates/cluster/examples/cost.rs
@@ -14,9 +14,9 @@
 use monsooncart_cluster::handler::Caller;
 use monsooncart_cluster::{config, engine, handler, scope};
 use monsooncart_config::{object, zone};
-use monsooncart_platform::{memory, object as platform, store::Store};
 use monsooncart_policy::claims::{claim, handover};
 use monsooncart_policy::membership::member;
+use monsooncart_store::{memory, object as platform, store::Store};
 use monsooncart_types::instance;
 use monsooncart_wire::{claims, floor, news, usage};
 
--- a/crates/cluster/src/admission.rs
+++ b/crates/cluster/src/admission.rs
@@ -13,10 +13,20 @@
 /// The admitted IP numbers.
 #[derive(Default)]
 pub struct Admission {
+    open: bool,
     addresses: ArcSwap<map::Set<net::IpAddr>>,
 }
 
 impl Admission {
+    /// Admits any address, where nothing lists the VMs and the network lets no stranger in.
+    #[must_use]
+    pub fn open() -> Self {
+        Self {
+            open: true,
+            ..Self::default()
+        }
+    }
+
     /// Replaces the admitted IP numbers.
     pub fn set(&self, addresses: map::Set<net::IpAddr>) {
         self.addresses.store(Arc::new(addresses));
@@ -25,6 +35,6 @@
     /// Whether an IP number is admitted.
     #[must_use]
     pub fn admits(&self, address: net::IpAddr) -> bool {
-        self.addresses.load().contains(&address.to_canonical())
+        self.open || self.addresses.load().contains(&address.to_canonical())
     }
 }
--- a/crates/cluster/src/config.rs
+++ b/crates/cluster/src/config.rs
@@ -5,10 +5,11 @@
 use std::time::Duration;
 
 use monsooncart_config::settings;
-use monsooncart_platform::{store, vms};
 use monsooncart_policy::membership::{member, timings};
+use monsooncart_store::{store, vms};
 use monsooncart_wire::datagram;
 
+use crate::spread::source;
 use crate::{engine, handler};
 
 /// DNS name that the certificate of every daemon carries.
@@ -59,6 +60,13 @@
     pub answer: Duration,
     /// Wait after a failed call of the platform.
     pub backoff: Duration,
+    /// Watchers of a region while they hear from the platform.
+    pub watchers: usize,
+    /// Whether a daemon reads the platform's objects once at its start, without waiting to be
+    /// chosen as a watcher.
+    pub read_first: bool,
+    /// Time for which the objects that are missing after an outage of the platform are kept.
+    pub lapse: Duration,
 }
 
 impl Default for Timings {
@@ -74,6 +82,9 @@
             watch: Duration::from_secs(4),
             answer: Duration::from_secs(5),
             backoff: Duration::from_secs(1),
+            watchers: 2,
+            read_first: false,
+            lapse: Duration::ZERO,
         }
     }
 }
@@ -88,7 +99,9 @@
     pub(crate) secret: Option<datagram::Secret>,
     pub(crate) vms: Option<Arc<dyn vms::List>>,
     pub(crate) store: Option<Arc<dyn store::Store>>,
+    pub(crate) source: Arc<dyn source::Source>,
     pub(crate) handler: Arc<dyn handler::Handler>,
+    pub(crate) open: bool,
     pub(crate) timings: Timings,
 }
 
@@ -110,7 +123,9 @@
             secret: None,
             vms: None,
             store: None,
+            source: Arc::new(source::Own),
             handler,
+            open: false,
             timings: Timings::default(),
         }
     }
@@ -157,9 +172,24 @@
         self
     }
 
+    /// Takes daemons from any address, where nothing lists the VMs and the network lets no stranger
+    /// in.
+    #[must_use]
+    pub fn open(mut self) -> Self {
+        self.open = true;
+        self
+    }
+
+    /// Which of the store's objects the configuration is made of.
+    #[must_use]
+    pub fn source(mut self, source: Arc<dyn source::Source>) -> Self {
+        self.source = source;
+        self
+    }
+
     /// Timings other than the default ones.
     #[must_use]
-    pub const fn timings(mut self, timings: Timings) -> Self {
+    pub fn timings(mut self, timings: Timings) -> Self {
         self.timings = timings;
         self
     }
--- a/crates/cluster/src/engine.rs
+++ b/crates/cluster/src/engine.rs
@@ -37,6 +37,16 @@
     u64::try_from(millis).unwrap_or(u64::MAX)
 }
 
+/// News for its receiver alone.
+fn receiver_item(news: news::News) -> news::Item {
+    news::Item {
+        number: rand::random(),
+        age_millis: 0,
+        reach: news::Reach::Receiver,
+        news,
+    }
+}
+
 impl Engine {
     pub(crate) async fn start(config: config::Config) -> Result<Self, config::Error> {
         let tls = config.keys.as_ref().map(tls::Tls::load).transpose()?;
@@ -84,13 +94,17 @@
             members: ArcSwap::default(),
             changes: watch::Sender::new(0),
             stale: AtomicBool::new(false),
-            admission: admission::Admission::default(),
+            admission: match config.open {
+                true => admission::Admission::open(),
+                false => admission::Admission::default(),
+            },
             pool: pool::Pool::new(dialler, counters.clone()),
             udp,
             tls,
             secret: config.secret,
             vms: config.vms,
             store: config.store,
+            source: config.source,
             handler: config.handler,
             held: Arc::default(),
             fresh: spread::fresh::Fresh::default(),
@@ -183,13 +197,18 @@
         }
     }
 
+    /// Tells news to a few members by datagrams, which may be lost; by calls where it is too large
+    /// for one. The handler of this daemon is not told.
+    pub fn cast(&self, news: news::News, members: &[member::Member]) {
+        let item = receiver_item(news);
+        let others = members.iter();
+        let others = others.filter(|m| m.instance != self.shared.local.instance);
+        let to: Vec<_> = others.map(|m| m.peers).collect();
+        self.shared.cast(&[item], &to);
+    }
+
     fn tell_directly(&self, news: news::News, members: &[member::Member]) {
-        let item = news::Item {
-            number: rand::random(),
-            age_millis: 0,
-            reach: news::Reach::Receiver,
-            news,
-        };
+        let item = receiver_item(news);
         let others = members.iter();
         let others = others.filter(|m| m.instance != self.shared.local.instance);
         let to: Vec<_> = others.map(|m| m.peers).collect();
--- a/crates/cluster/src/gossip.rs
+++ b/crates/cluster/src/gossip.rs
@@ -4,8 +4,8 @@
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 
-use monsooncart_platform::vms;
 use monsooncart_policy::membership::{event, message, record};
+use monsooncart_store::vms;
 use monsooncart_wire::datagram;
 use tokio::time::{self, MissedTickBehavior};
 
--- a/crates/cluster/src/shared.rs
+++ b/crates/cluster/src/shared.rs
@@ -6,9 +6,10 @@
 use std::time::{Duration, Instant};
 
 use arc_swap::ArcSwap;
-use monsooncart_platform::{store, vms};
+use monsooncart_config::object;
 use monsooncart_policy::membership::{action, event, member, protocol, record};
 use monsooncart_policy::rank;
+use monsooncart_store::{store, vms};
 use monsooncart_types::{instance, map, time};
 use monsooncart_wire::{configuration, datagram, news, sync};
 use tokio::net::UdpSocket;
@@ -50,6 +51,7 @@
     pub(crate) secret: Option<datagram::Secret>,
     pub(crate) vms: Option<Arc<dyn vms::List>>,
     pub(crate) store: Option<Arc<dyn store::Store>>,
+    pub(crate) source: Arc<dyn spread::source::Source>,
     pub(crate) handler: Arc<dyn handler::Handler>,
     pub(crate) held: Arc<spread::held::Held>,
     pub(crate) fresh: spread::fresh::Fresh,
@@ -71,7 +73,7 @@
 /// announcements are one.
 fn number(news: &news::News) -> u64 {
     match news {
-        news::News::Configuration { key, version } => {
+        news::News::Configuration { key, version, .. } => {
             rank::hash(format!("{key}@{version}").as_bytes())
         }
         _ => rand::random(),
@@ -187,6 +189,24 @@
         }
     }
 
+    /// Tells news by one datagram each, or by calls where it is too large for one.
+    pub(crate) fn cast(self: &Arc<Self>, items: &[news::Item], to: &[net::SocketAddr]) {
+        let datagram = datagram::Datagram::News(items.to_vec());
+        let bytes = match datagram::encode(&datagram, self.secret.as_ref()) {
+            Ok(bytes) => bytes,
+            Err(_) => return self.tell_by_calls(items, to),
+        };
+        for to in to {
+            // A datagram that the kernel does not take is lost like any other.
+            if self.udp.try_send_to(&bytes, *to).is_ok() {
+                count(&self.counters.datagrams_sent);
+                let length = bytes.len() as u64;
+                let sent = &self.counters.bytes_sent;
+                sent.fetch_add(length, Ordering::Relaxed);
+            }
+        }
+    }
+
     fn start_sync(self: &Arc<Self>, with: net::SocketAddr) {
         let shared = self.clone();
         self.spawn(async move {
@@ -288,14 +308,34 @@
             let Some(news) = fresh else {
                 continue;
             };
-            if let news::News::Configuration { key, version } = &news {
-                self.held.announced(key, *version);
+            if let news::News::Configuration {
+                key,
+                version,
+                value,
+            } = news
+            {
+                self.hear_configuration(key, version, value);
                 continue;
             }
             self.handler.news(news);
         }
     }
 
+    /// Takes a configuration object that came whole, or has it pulled.
+    fn hear_configuration(&self, key: object::Key, version: u64, value: Option<object::Value>) {
+        match value {
+            Some(value) => {
+                let object = spread::held::Object {
+                    key,
+                    version,
+                    value,
+                };
+                self.held.take_all(vec![object]);
+            }
+            None => self.held.announced(&key, version),
+        }
+    }
+
     /// Tells news to the whole fleet: at once to a delegate of each other region, the rest by
     /// gossip.
     pub(crate) fn publish(self: &Arc<Self>, news: news::News) {
--- a/crates/cluster/src/spread.rs
+++ b/crates/cluster/src/spread.rs
@@ -7,6 +7,7 @@
 
 pub mod fresh;
 pub mod held;
+pub mod source;
 
 mod compare;
 mod watch;
@@ -19,6 +20,9 @@
 pub(crate) fn start(shared: &Arc<shared::Shared>) {
     shared.spawn(compare::run(shared.clone()));
     if let Some(store) = shared.store.clone() {
-        shared.spawn(watch::run(shared.clone(), store));
+        for prefix in shared.source.prefixes() {
+            let watch = watch::Watch::new(shared.clone(), store.clone(), prefix);
+            shared.spawn(watch.run());
+        }
     }
 }
--- a/crates/cluster/src/spread/held.rs
+++ b/crates/cluster/src/spread/held.rs
@@ -250,6 +250,8 @@
         object::Value::Service(None) => 0,
         object::Value::Service(Some(service)) => service.servers.len() + service.routes.len(),
         object::Value::Organisations(organisations) => organisations.len(),
+        object::Value::Routing(routing) => routing.routes.len() + routing.services.len(),
+        object::Value::Registration(registration) => usize::from(registration.is_some()),
     };
     (1 + items) * ITEM
 }
--- a/crates/cluster/src/spread/watch.rs
+++ b/crates/cluster/src/spread/watch.rs
@@ -1,12 +1,11 @@
-//! Watching the platform's configuration objects.
+//! Watching the store's configuration objects.
 
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-use monsooncart_config::object as key;
-use monsooncart_platform::{error, object, store};
+use monsooncart_store::{error, object, store};
 use monsooncart_types::map;
-use monsooncart_wire::news;
+use monsooncart_wire::{frame, news};
 use rand::RngExt;
 
 use super::held;
@@ -15,9 +14,6 @@
 /// Key by which the watchers of a region are ranked.
 pub(super) const WATCHERS: &[u8] = b"config";
 
-/// Watchers of a region while they hear from the platform.
-const COUNT: usize = 2;
-
 /// Watchers of a region while no watcher is known to hear from the platform.
 pub(super) const COUNT_STALE: usize = 5;
 
@@ -28,9 +24,15 @@
 /// Objects of one change that are announced; the rest are found by the comparisons that follow.
 const ANNOUNCED: usize = 16;
 
+/// Largest value that is told with its announcement, in bytes; a datagram holds a few.
+const TOLD_BYTES: usize = 500;
+
 /// Time between looks at whether this daemon has the duty.
 const LOOK: Duration = Duration::from_millis(500);
 
+/// Least time between two attempts to read the platform while a loss of objects is waited out.
+const LAPSE_LOOK: Duration = Duration::from_millis(50);
+
 /// Whether this daemon is to watch now. One that has just started and knows no other yet is not:
 /// its rank among itself alone says nothing.
 fn has_duty(shared: &shared::Shared) -> bool {
@@ -40,51 +42,209 @@
     }
     let limit = shared.timings.watch * STALE_WAITS + shared.timings.backoff;
     let fresh = shared.fresh.age().is_some_and(|age| age < limit);
-    let count = if fresh { COUNT } else { COUNT_STALE };
+    let watchers = shared.timings.watchers;
+    let count = if fresh {
+        watchers
+    } else {
+        COUNT_STALE.max(watchers)
+    };
     shared::lock(&shared.protocol).is_chosen(WATCHERS, count)
 }
 
-/// Watches whenever this daemon has the duty.
-pub(crate) async fn run(shared: Arc<shared::Shared>, store: Arc<dyn store::Store>) {
-    loop {
-        if !has_duty(&shared) {
-            tokio::time::sleep(LOOK).await;
-            continue;
+/// A removal that takes effect only if the object does not come back.
+struct Lapse {
+    due: Instant,
+    object: held::Object,
+}
+
+/// Watches the objects under one prefix whenever this daemon has the duty.
+pub(crate) struct Watch {
+    shared: Arc<shared::Shared>,
+    store: Arc<dyn store::Store>,
+    prefix: &'static str,
+    /// Whether the last call failed.
+    away: bool,
+    /// When the platform was heard again after a failure.
+    returned: Option<Instant>,
+    lapses: Vec<Lapse>,
+}
+
+impl Watch {
+    pub(crate) fn new(
+        shared: Arc<shared::Shared>,
+        store: Arc<dyn store::Store>,
+        prefix: &'static str,
+    ) -> Self {
+        Self {
+            shared,
+            store,
+            prefix,
+            away: false,
+            returned: None,
+            lapses: Vec::new(),
         }
-        if let Err(error) = follow(&shared, store.as_ref()).await {
-            log::warn!(error:%; "config: platform not read");
-            let jitter = rand::rng().random_range(1.0..2.0);
-            tokio::time::sleep(shared.timings.backoff.mul_f64(jitter)).await;
+    }
+
+    /// Watches until the task is dropped.
+    pub(crate) async fn run(mut self) {
+        let mut first = self.shared.timings.read_first;
+        loop {
+            if !first && !has_duty(&self.shared) {
+                self.lapsed();
+                tokio::time::sleep(LOOK).await;
+                continue;
+            }
+            match self.follow().await {
+                Ok(()) => first = false,
+                Err(error) => {
+                    if !self.away {
+                        log::warn!(prefix = self.prefix, error:%; "config: platform lost");
+                    }
+                    self.away = true;
+                    self.pause().await;
+                }
+            }
         }
     }
-}
 
-/// Lists the objects, then takes changes while the duty lasts. A watch that has fallen behind the
-/// platform's history ends, and the next one lists again.
-async fn follow(
-    shared: &Arc<shared::Shared>,
-    store: &dyn store::Store,
-) -> Result<(), error::Error> {
-    let mut since = list(shared, store).await?;
-    while has_duty(shared) {
-        shared::count(&shared.counters.platform_calls);
-        let wait = shared.timings.watch;
-        let limit = wait + shared.timings.answer;
-        let page = bounded(
-            limit,
-            error::Step::Watch,
-            store.watch(key::PREFIX, since, wait),
-        );
-        let page = page.await?;
-        shared.fresh.learn(Some(0));
-        if page.compacted {
-            log::info!(since:% = since; "config: watch fell behind, listing again");
-            return Ok(());
+    async fn pause(&mut self) {
+        let jitter = rand::rng().random_range(1.0..2.0);
+        tokio::time::sleep(self.shared.timings.backoff.mul_f64(jitter)).await;
+        self.lapsed();
+    }
+
+    /// Lists the objects, then takes changes while the duty lasts. A watch that has fallen behind
+    /// the platform's history ends, and the next one lists again.
+    async fn follow(&mut self) -> Result<(), error::Error> {
+        let mut since = self.list().await?;
+        while has_duty(&self.shared) {
+            shared::count(&self.shared.counters.platform_calls);
+            let wait = self.wait();
+            let limit = wait + self.shared.timings.answer;
+            let page = self.store.watch(self.prefix, since, wait);
+            let page = bounded(limit, error::Step::Watch, page).await?;
+            self.heard();
+            if page.compacted {
+                log::info!(prefix = self.prefix, since:% = since; "config: watch fell behind, listing again");
+                since = self.list().await?;
+                continue;
+            }
+            self.take(&page.objects);
+            self.lapsed();
+            since = page.revision.max(since);
+        }
+        Ok(())
+    }
+
+    /// Longest wait of the next watch: no longer than until a removal takes effect.
+    fn wait(&self) -> Duration {
+        let due = self.lapses.iter().map(|lapse| lapse.due).min();
+        let due = due.map(|due| {
+            due.saturating_duration_since(Instant::now())
+                .max(LAPSE_LOOK)
+        });
+        due.unwrap_or(Duration::MAX).min(self.shared.timings.watch)
+    }
+
+    /// Notes that the platform answered.
+    fn heard(&mut self) {
+        self.shared.fresh.learn(Some(0));
+        if std::mem::take(&mut self.away) {
+            log::info!(prefix = self.prefix; "config: platform is back");
+            self.returned = Some(Instant::now());
+        }
+    }
+
+    /// Lists all objects; gives the revision from which to watch.
+    async fn list(&mut self) -> Result<object::Version, error::Error> {
+        let mut after = String::new();
+        let mut revision = None;
+        let mut objects = Vec::new();
+        loop {
+            shared::count(&self.shared.counters.platform_calls);
+            let page = self.store.list(self.prefix, &after);
+            let page = bounded(self.shared.timings.answer, error::Step::List, page).await?;
+            let first = *revision.get_or_insert(page.revision);
+            objects.extend(page.objects);
+            match page.next {
+                Some(next) => after = next,
+                None => {
+                    self.heard();
+                    objects.extend(self.removed(first, &objects));
+                    self.take(&objects);
+                    return Ok(first);
+                }
+            }
+        }
+    }
+
+    /// Removals of the objects that are held and not listed. An object held at a later version than
+    /// the listing's is not one of them.
+    fn removed(&self, revision: object::Version, listed: &[object::Object]) -> Vec<object::Object> {
+        let listed: map::Set<&str> = listed.iter().map(|o| o.key.as_str()).collect();
+        let snapshot = self.shared.held.snapshot();
+        let held = snapshot.versions().filter(|(_, v)| *v < revision.0);
+        let keys = held.filter_map(|(key, _)| self.shared.source.key(self.prefix, key));
+        let gone = keys.filter(|key| !listed.contains(key.as_str()));
+        let removal = |key| object::Object {
+            key,
+            version: revision,
+            value: None,
+        };
+        gone.map(removal).collect()
+    }
+
+    /// Takes objects that the platform gave, and announces the newer ones. Removals soon after an
+    /// outage wait: what lapsed while the platform was away may come back.
+    fn take(&mut self, objects: &[object::Object]) {
+        let lapse = self.shared.timings.lapse;
+        let until = self.returned.map(|returned| returned + lapse);
+        let until = until.filter(|until| *until > Instant::now());
+        let mut taken = Vec::new();
+        for object in objects {
+            let Some(checked) = self.shared.source.decode(object) else {
+                continue;
+            };
+            match until {
+                Some(due) if object.value.is_none() => {
+                    log::info!(object:% = checked.key, version = checked.version; "config: object is missing after an outage, keeping it for a while");
+                    self.lapses.push(Lapse {
+                        due,
+                        object: checked,
+                    });
+                }
+                _ => taken.push(checked),
+            }
+        }
+        self.announce(taken);
+    }
+
+    /// Takes the removals whose objects did not come back.
+    fn lapsed(&mut self) {
+        let now = Instant::now();
+        let due = self.lapses.extract_if(.., |lapse| lapse.due <= now);
+        let objects: Vec<_> = due.map(|lapse| lapse.object).collect();
+        if !objects.is_empty() {
+            self.announce(objects);
+        }
+    }
+
+    fn announce(&self, objects: Vec<held::Object>) {
+        let taken = self.shared.held.take_all(objects);
+        let snapshot = self.shared.held.snapshot();
+        for (key, version) in taken.into_iter().take(ANNOUNCED) {
+            let value = snapshot.value(&key);
+            let small = |v: &monsooncart_config::object::Value| {
+                frame::encode(v).is_ok_and(|bytes| bytes.len() <= TOLD_BYTES)
+            };
+            let value = value.filter(small);
+            self.shared.publish(news::News::Configuration {
+                key,
+                version,
+                value,
+            });
         }
-        take(shared, &page.objects);
-        since = page.revision.max(since);
     }
-    Ok(())
 }
 
 /// Ends a call of the platform that gives no answer.
@@ -102,78 +262,3 @@
         })
     })
 }
-
-/// Lists all objects; gives the revision from which to watch.
-async fn list(
-    shared: &Arc<shared::Shared>,
-    store: &dyn store::Store,
-) -> Result<object::Version, error::Error> {
-    let mut after = String::new();
-    let mut revision = None;
-    let mut objects = Vec::new();
-    loop {
-        shared::count(&shared.counters.platform_calls);
-        let page = store.list(key::PREFIX, &after);
-        let page = bounded(shared.timings.answer, error::Step::List, page).await?;
-        let first = *revision.get_or_insert(page.revision);
-        objects.extend(page.objects);
-        match page.next {
-            Some(next) => after = next,
-            None => {
-                shared.fresh.learn(Some(0));
-                objects.extend(removed(shared, first, &objects));
-                take(shared, &objects);
-                return Ok(first);
-            }
-        }
-    }
-}
-
-/// Removals of the objects that are held and not listed. An object held at a later version than the
-/// listing's is not one of them.
-fn removed(
-    shared: &shared::Shared,
-    revision: object::Version,
-    listed: &[object::Object],
-) -> Vec<object::Object> {
-    let listed: map::Set<&str> = listed.iter().map(|o| o.key.as_str()).collect();
-    let snapshot = shared.held.snapshot();
-    let held = snapshot.versions().filter(|(_, v)| *v < revision.0);
-    let keys = held.map(|(key, _)| key.to_string());
-    let gone = keys.filter(|key| !listed.contains(key.as_str()));
-    let removal = |key| object::Object {
-        key,
-        version: revision,
-        value: None,
-    };
-    gone.map(removal).collect()
-}
-
-/// The object in its checked form; `None` where it is not one that this release knows.
-fn checked(object: &object::Object) -> Option<held::Object> {
-    let key: key::Key = object.key.parse().ok()?;
-    let value = match &object.value {
-        None => key.empty(),
-        Some(value) => match key::Value::decode(value) {
-            Ok(value) => value,
-            Err(error) => {
-                log::error!(object:% = object.key, version:% = object.version, error:%; "config: object not readable, keeping the one held");
-                return None;
-            }
-        },
-    };
-    Some(held::Object {
-        key,
-        version: object.version.0,
-        value,
-    })
-}
-
-/// Takes objects that the platform gave, and announces the newer ones.
-fn take(shared: &Arc<shared::Shared>, objects: &[object::Object]) {
-    let checked = objects.iter().filter_map(checked).collect();
-    let taken = shared.held.take_all(checked);
-    for (key, version) in taken.into_iter().take(ANNOUNCED) {
-        shared.publish(news::News::Configuration { key, version });
-    }
-}
--- a/crates/cluster/tests/engine/life.rs
+++ b/crates/cluster/tests/engine/life.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use monsooncart_cluster::call;
-use monsooncart_platform::{memory, vms};
 use monsooncart_policy::membership::member;
+use monsooncart_store::{memory, vms};
 
 use crate::fixture::{self, Daemon};
 
--- a/crates/cluster/tests/engine/platform.rs
+++ b/crates/cluster/tests/engine/platform.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use monsooncart_config::{object as config, zone};
-use monsooncart_platform::{memory, object, store};
+use monsooncart_store::{memory, object, store};
 use monsooncart_testbed::local::outage;
 
 /// The platform, which answers while it is up.
--- a/crates/config/src/diff/field.rs
+++ b/crates/config/src/diff/field.rs
@@ -41,6 +41,8 @@
         object::Value::Zones(zones) => serde_json::to_value(zones),
         object::Value::Service(service) => serde_json::to_value(service),
         object::Value::Organisations(organisations) => serde_json::to_value(organisations),
+        object::Value::Routing(routing) => serde_json::to_value(routing),
+        object::Value::Registration(registration) => serde_json::to_value(registration),
     };
     json.unwrap_or_default()
 }
--- a/crates/config/src/object.rs
+++ b/crates/config/src/object.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use monsooncart_types::id;
 
-use crate::{fleet, organisation, service, zone};
+use crate::{fleet, organisation, registration, routing, service, zone};
 
 /// Blocks that organisations are divided into.
 pub const BLOCKS: u32 = 256;
@@ -32,6 +32,10 @@
     Service(id::Service),
     /// A block of organisations, by number.
     Organisations(u32),
+    /// The routing of a deployment whose servers register themselves.
+    Routing,
+    /// A server that registers itself.
+    Registration(id::Server),
 }
 
 impl fmt::Display for Key {
@@ -40,6 +44,8 @@
             Self::Zones => write!(f, "{PREFIX}zones"),
             Self::Service(name) => write!(f, "{PREFIX}service/{name}"),
             Self::Organisations(block) => write!(f, "{PREFIX}organisations/{block:03}"),
+            Self::Routing => write!(f, "{PREFIX}routing"),
+            Self::Registration(server) => write!(f, "{PREFIX}registration/{server}"),
         }
     }
 }
@@ -52,6 +58,8 @@
             Self::Zones => Value::Zones(Vec::new()),
             Self::Service(_) => Value::Service(None),
             Self::Organisations(_) => Value::Organisations(Vec::new()),
+            Self::Routing => Value::Routing(Box::default()),
+            Self::Registration(_) => Value::Registration(None),
         }
     }
 }
@@ -76,7 +84,14 @@
                 let block = block.parse().ok().filter(|block| *block < BLOCKS);
                 return block.map(Self::Organisations);
             }
-            (rest == "zones").then_some(Self::Zones)
+            if let Some(server) = rest.strip_prefix("registration/") {
+                return server.parse().ok().map(Self::Registration);
+            }
+            match rest {
+                "zones" => Some(Self::Zones),
+                "routing" => Some(Self::Routing),
+                _ => None,
+            }
         };
         let key = text.strip_prefix(PREFIX).and_then(parse);
         // Only the form that is written is taken, so that no object has two keys.
@@ -97,6 +112,10 @@
     Service(Option<Box<service::Service>>),
     /// A block of organisations.
     Organisations(Vec<organisation::Organisation>),
+    /// The routing of a deployment whose servers register themselves.
+    Routing(Box<routing::Routing>),
+    /// A server that registers itself; `None` where it is gone or its entry is of no use.
+    Registration(Option<Box<registration::Registration>>),
 }
 
 impl Value {
@@ -107,6 +126,8 @@
             Self::Zones(zones) => zones.is_empty(),
             Self::Service(service) => service.is_none(),
             Self::Organisations(organisations) => organisations.is_empty(),
+            Self::Routing(routing) => routing.routes.is_empty(),
+            Self::Registration(registration) => registration.is_none(),
         }
     }
 
@@ -167,6 +188,7 @@
             Value::Zones(zones) => fleet.zones = zones,
             Value::Service(service) => fleet.services.extend(service.map(|s| *s)),
             Value::Organisations(organisations) => fleet.organisations.extend(organisations),
+            Value::Routing(_) | Value::Registration(_) => {}
         }
     }
     fleet.services.sort_by(|a, b| a.name.cmp(&b.name));
--- a/crates/config/src/parse.rs
+++ b/crates/config/src/parse.rs
@@ -25,7 +25,7 @@
 
 /// Expected where a duration is.
 pub(crate) const SPAN: &str =
-    "a duration above zero, a whole number followed by ms, s, m, h or d such as \"250ms\"";
+    "a duration above zero, a number followed by ms, s, m, h or d such as \"250ms\"";
 
 /// Expected where a size is.
 pub(crate) const SIZE: &str =
--- a/crates/config/src/parse/server.rs
+++ b/crates/config/src/parse/server.rs
@@ -52,6 +52,8 @@
         slots: slots?,
         connections: connections?,
         leaving: leaving.unwrap_or(false),
+        cold: monsooncart_types::span::Span::default(),
+        started_millis: 0,
     };
     let (connections, slots) = (server.connections, server.slots);
     if connections < slots {
--- a/crates/config/src/parse/settings.rs
+++ b/crates/config/src/parse/settings.rs
@@ -27,9 +27,22 @@
 /// Expected where limits are.
 const LIMITS: &str = "limits, an object";
 
+/// Expected where a number of requests or a share of them is.
+const AMOUNT: &str = "a number from 0";
+
+/// Expected where a port is.
+const PORT: &str = "a port, a whole number from 1 to 65535";
+
 /// Expected where seeds are.
 const SEEDS: &str = "a list of addresses of other daemons";
 
+/// Expected where a gateway is.
+const GATEWAY: &str =
+    "a gateway, an object with directory, readiness, grace, lifetime_max and retries";
+
+/// Expected where the bounds of retries are.
+const RETRIES: &str = "bounds of retries, an object with share, slack and window";
+
 /// Default lifetime of an answer of `/v1/entries`.
 const ENTRY_LIFETIME: std::time::Duration = std::time::Duration::from_secs(10);
 
@@ -51,6 +64,7 @@
     "limits",
     "entry_lifetime",
     "entry_count",
+    "gateway",
 ];
 
 impl settings::Settings {
@@ -125,6 +139,12 @@
     let lifetime = lifetime.and_then(|node| super::span(reader, &node));
     let count = fields.get("entry_count");
     let count = count.and_then(|node| reader.count(&node));
+    let gateway = fields.get("gateway");
+    let gateway = gateway.map(|node| gateway_of(reader, &node, &mut listeners));
+    let gateway = match gateway {
+        Some(gateway) => Some(gateway?),
+        None => None,
+    };
     let keys = match keys {
         Some(keys) => Some(keys?),
         None => None,
@@ -148,9 +168,74 @@
         limits: limits?,
         entry_lifetime: lifetime.unwrap_or(monsooncart_types::span::Span(ENTRY_LIFETIME)),
         entry_count: count.unwrap_or(ENTRY_COUNT),
+        gateway,
     })
 }
 
+fn gateway_of(
+    reader: &mut reader::Reader<'_>,
+    node: &reader::Node<'_, '_>,
+    listeners: &mut Vec<(net::SocketAddr, usize)>,
+) -> Option<settings::Gateway> {
+    let known = &[
+        "directory",
+        "readiness",
+        "seeds_port",
+        "grace",
+        "lifetime_max",
+        "retries",
+    ];
+    let fields = reader.fields(node, GATEWAY, known)?;
+    let directory = listener(reader, &fields, "directory", LISTENER, listeners);
+    let readiness = listener(reader, &fields, "readiness", LISTENER, listeners);
+    let port = fields.get("seeds_port");
+    let port = match port {
+        Some(node) => Some(port_of(reader, &node)?),
+        None => None,
+    };
+    let grace = reader.required(&fields, "grace", super::SPAN);
+    let grace = grace.and_then(|node| super::span(reader, &node));
+    let lifetime = reader.required(&fields, "lifetime_max", super::SPAN);
+    let lifetime = lifetime.and_then(|node| super::span(reader, &node));
+    let retries = reader.required(&fields, "retries", RETRIES);
+    let retries = retries.and_then(|node| retries_of(reader, &node));
+    Some(settings::Gateway {
+        directory: directory?,
+        readiness: readiness?,
+        seeds_port: port,
+        grace: grace?,
+        lifetime_max: lifetime?,
+        retries: retries?,
+    })
+}
+
+fn retries_of(
+    reader: &mut reader::Reader<'_>,
+    node: &reader::Node<'_, '_>,
+) -> Option<settings::Retries> {
+    let fields = reader.fields(node, RETRIES, &["share", "slack", "window"])?;
+    let share = reader.required(&fields, "share", AMOUNT);
+    let share = share.and_then(|node| reader.amount(&node, AMOUNT));
+    let slack = reader.required(&fields, "slack", AMOUNT);
+    let slack = slack.and_then(|node| reader.amount(&node, AMOUNT));
+    let window = reader.required(&fields, "window", super::SPAN);
+    let window = window.and_then(|node| super::span(reader, &node));
+    Some(settings::Retries {
+        share: share?,
+        slack: slack?,
+        window: window?,
+    })
+}
+
+fn port_of(reader: &mut reader::Reader<'_>, node: &reader::Node<'_, '_>) -> Option<u16> {
+    let port = reader.count(node)?;
+    let port = u16::try_from(port).ok();
+    if port.is_none() {
+        reader.unexpected(node, PORT);
+    }
+    port
+}
+
 /// A listener's address; port 0 takes a free one.
 fn listener(
     reader: &mut reader::Reader<'_>,
--- a/crates/config/src/reader.rs
+++ b/crates/config/src/reader.rs
@@ -193,6 +193,19 @@
         count
     }
 
+    /// A number from 0.
+    pub(crate) fn amount(&mut self, node: &Node<'_, '_>, expected: &str) -> Option<f64> {
+        let amount = match node.value {
+            ast::Value::NumberLit(literal) => literal.value.parse().ok(),
+            _ => None,
+        };
+        let amount = amount.filter(|n: &f64| n.is_finite() && *n >= 0.0);
+        if amount.is_none() {
+            self.unexpected(node, expected);
+        }
+        amount
+    }
+
     /// A boolean.
     pub(crate) fn flag(&mut self, node: &Node<'_, '_>) -> Option<bool> {
         let ast::Value::BooleanLit(literal) = node.value else {
--- a/crates/config/src/server.rs
+++ b/crates/config/src/server.rs
@@ -2,7 +2,7 @@
 
 use std::net;
 
-use monsooncart_types::id;
+use monsooncart_types::{id, span};
 
 /// A backend server of one service.
 #[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
@@ -21,4 +21,10 @@
     /// Whether the asset register says that it is leaving.
     #[serde(default)]
     pub leaving: bool,
+    /// How much longer it is slow after its start, as it said last.
+    #[serde(default)]
+    pub cold: span::Span,
+    /// When this run of it started, in milliseconds since 1970; 0 where that is not known.
+    #[serde(default)]
+    pub started_millis: u64,
 }
--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -40,8 +40,36 @@
     pub body_timeout: span::Span,
 }
 
+/// What a daemon needs besides where servers register themselves and callers ask for addresses.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Gateway {
+    /// Listener for callers that ask which addresses to use.
+    pub directory: net::SocketAddr,
+    /// Listener for those who ask whether the daemon is ready.
+    pub readiness: net::SocketAddr,
+    /// Port of the `peers` listener of the seeds, where `seeds` names another one.
+    pub seeds_port: Option<u16>,
+    /// Time from the request to stop to the end of the process.
+    pub grace: span::Span,
+    /// Longest lifetime of a directory's answer.
+    pub lifetime_max: span::Span,
+    /// What requests that are sent more than once may add to a service's load.
+    pub retries: Retries,
+}
+
+/// What requests that are sent more than once may add to a service's load, over all daemons.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Retries {
+    /// Retries for each request.
+    pub share: f64,
+    /// Retries besides.
+    pub slack: f64,
+    /// Span over which both are counted.
+    pub window: span::Span,
+}
+
 /// What one daemon needs to know at start.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
     /// Name of the VM, as the platform's VM list has it.
     pub name: id::Vm,
@@ -69,8 +97,10 @@
     pub limits: Limits,
     /// Lifetime of an answer of `/v1/entries`.
     pub entry_lifetime: span::Span,
-    /// Daemons named in an answer of `/v1/entries`.
+    /// Daemons named in an answer of `/v1/entries`; behind a gateway, in each data centre.
     pub entry_count: u32,
+    /// Set where servers register themselves and callers ask a directory for addresses.
+    pub gateway: Option<Gateway>,
 }
 
 impl Default for Limits {
--- a/crates/config/src/snapshot.rs
+++ b/crates/config/src/snapshot.rs
@@ -7,11 +7,12 @@
 
 use monsooncart_types::{id, map};
 
-use crate::{object, organisation, service, zone};
+use crate::{object, organisation, routing, service, zone};
 
 mod block;
 mod index;
 mod names;
+mod registry;
 
 /// A configuration.
 #[derive(Clone, Debug, Default)]
@@ -23,6 +24,9 @@
     centres: Arc<names::Names<id::DataCentre>>,
     keys: index::Index,
     versions: Arc<map::Map<object::Key, u64>>,
+    routing: Arc<routing::Routing>,
+    table: Arc<routing::Table>,
+    registry: Arc<registry::Registry>,
 }
 
 impl Snapshot {
@@ -71,6 +75,20 @@
         blocks.flat_map(|block| block.organisations(&self.names))
     }
 
+    /// The routing of a deployment whose servers register themselves; `None` before it is held.
+    #[must_use]
+    pub fn routing(&self) -> Option<&Arc<routing::Routing>> {
+        self.version(&object::Key::Routing)?;
+        Some(&self.routing)
+    }
+
+    /// The route of a request of a deployment whose servers register themselves.
+    #[must_use]
+    pub fn route(&self, host: &str, path: &str) -> Option<&routing::Route> {
+        let place = self.table.find(host, path)?;
+        self.routing.routes.get(place)
+    }
+
     /// Version of an object; `None` where it is not held.
     #[must_use]
     pub fn version(&self, key: &object::Key) -> Option<u64> {
@@ -97,6 +115,11 @@
                 let block = block.map(|b| b.organisations(&self.names).collect());
                 object::Value::Organisations(block.unwrap_or_default())
             }
+            object::Key::Routing => object::Value::Routing(Box::new(self.routing.as_ref().clone())),
+            object::Key::Registration(server) => {
+                let registration = self.registry.get(server);
+                object::Value::Registration(registration.map(|r| Box::new(r.as_ref().clone())))
+            }
         })
     }
 
@@ -127,6 +150,13 @@
             (object::Key::Organisations(block), object::Value::Organisations(organisations)) => {
                 self.take_block(*block, &organisations);
             }
+            (object::Key::Routing, object::Value::Routing(routing)) => self.take_routing(routing),
+            (object::Key::Registration(server), object::Value::Registration(registration)) => {
+                let registration = registration.map(|r| Arc::new(*r));
+                for service in Arc::make_mut(&mut self.registry).take(server, registration) {
+                    self.take_registered(&service);
+                }
+            }
             _ => return false,
         }
         Arc::make_mut(&mut self.versions).insert(key.clone(), version);
@@ -159,6 +189,32 @@
         Arc::from(service)
     }
 
+    fn take_routing(&mut self, routing: Box<routing::Routing>) {
+        let old = std::mem::replace(&mut self.routing, Arc::new(*routing));
+        self.table = Arc::new(routing::Table::new(&self.routing));
+        let names = old.services.iter().chain(&self.routing.services);
+        let names: std::collections::BTreeSet<_> = names.map(|s| s.name.clone()).collect();
+        for name in names {
+            self.take_registered(&name);
+        }
+    }
+
+    /// Puts a service together from the routing and the servers that registered for it.
+    fn take_registered(&mut self, name: &id::Service) {
+        let known = self.routing.services.iter().find(|s| s.name == *name);
+        let service = known.map(|known| Arc::new(self.registry.service(known)));
+        let services = Arc::make_mut(&mut self.services);
+        match service {
+            Some(service) if services.get(name) == Some(&service) => {}
+            Some(service) => {
+                services.insert(name.clone(), service);
+            }
+            None => {
+                services.remove(name);
+            }
+        }
+    }
+
     fn take_block(&mut self, number: u32, organisations: &[organisation::Organisation]) {
         let services = organisations.iter().flat_map(|o| &o.services);
         names::Names::add_all(&mut self.names, services);
--- a/crates/daemon/src/accounts.rs
+++ b/crates/daemon/src/accounts.rs
@@ -14,7 +14,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::SystemTime;
 
-use monsooncart_platform::store;
+use monsooncart_store::store;
 use monsooncart_usage::burn::{snapshot, tracker};
 use monsooncart_usage::{book, copies, counter, page, sample};
 use monsooncart_wire::usage as wire;
--- a/crates/daemon/src/accounts/rescue.rs
+++ b/crates/daemon/src/accounts/rescue.rs
@@ -5,7 +5,7 @@
 
 use std::time::Duration;
 
-use monsooncart_platform::{error, object};
+use monsooncart_store::{error, object};
 use monsooncart_types::instance;
 use monsooncart_usage::burn::snapshot;
 use monsooncart_usage::page;
--- a/crates/daemon/src/accounts/writer.rs
+++ b/crates/daemon/src/accounts/writer.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use monsooncart_platform::{error, object};
+use monsooncart_store::{error, object};
 use monsooncart_usage::burn::snapshot;
 use monsooncart_usage::{book, page};
 use tokio::time::Instant;
--- a/crates/daemon/src/admin.rs
+++ b/crates/daemon/src/admin.rs
@@ -1,56 +1,39 @@
 //! Answers to operators, as JSON over HTTP.
 
 use std::collections::BTreeMap;
-use std::convert::Infallible;
 use std::net;
 use std::sync::Arc;
 
 use bytes::Bytes;
+use futures_util::FutureExt as _;
+use futures_util::future::BoxFuture;
 use http_body_util::Full;
-use hyper::server::conn::http1;
-use hyper::service;
-use hyper_util::rt;
 use monsooncart_policy::handle;
 use monsooncart_types::id;
 use prometheus::Encoder as _;
 use tokio::net::TcpListener;
-use tokio::sync::Semaphore;
 
+use crate::pages::{self, Answer, Request, text};
 use crate::{accounts, engine, ledger, operator, status};
 
 /// Connections from operators at a time.
 const CONNECTIONS: usize = 64;
 
-type Request = http::Request<hyper::body::Incoming>;
+/// The pages of one daemon.
+pub struct Admin {
+    /// The daemon.
+    pub engine: engine::Engine,
+}
 
-type Answer = http::Response<Full<Bytes>>;
+impl pages::Pages for Admin {
+    fn answer<'a>(&'a self, peer: net::IpAddr, request: &'a Request) -> BoxFuture<'a, Answer> {
+        answer(&self.engine, peer, request).boxed()
+    }
+}
 
 /// Serves operators until the task is dropped.
 pub async fn serve(listener: TcpListener, engine: engine::Engine) {
-    let permits = Arc::new(Semaphore::new(CONNECTIONS));
-    loop {
-        let Ok(permit) = permits.clone().acquire_owned().await else {
-            return;
-        };
-        let Ok((stream, peer)) = listener.accept().await else {
-            continue;
-        };
-        let engine = engine.clone();
-        tokio::spawn(async move {
-            let answer = service::service_fn(|request| {
-                let engine = engine.clone();
-                async move { Ok::<_, Infallible>(answer(&engine, peer.ip(), &request).await) }
-            });
-            let served = http1::Builder::new()
-                .timer(rt::TokioTimer::new())
-                .serve_connection(rt::TokioIo::new(stream), answer)
-                .await;
-            if let Err(error) = served {
-                log::debug!(error:%; "admin: connection broke");
-            }
-            drop(permit);
-        });
-    }
+    pages::serve(listener, CONNECTIONS, Arc::new(Admin { engine })).await;
 }
 
 async fn answer(engine: &engine::Engine, peer: net::IpAddr, request: &Request) -> Answer {
@@ -95,28 +78,15 @@
     }
 }
 
-fn text(status: http::StatusCode, body: &str) -> Answer {
-    let mut answer = http::Response::new(Full::new(Bytes::copy_from_slice(body.as_bytes())));
-    *answer.status_mut() = status;
-    answer
-}
-
 fn json(value: &impl serde::Serialize) -> Answer {
-    let body = match serde_json::to_vec_pretty(value) {
-        Ok(body) => body,
+    match serde_json::to_vec_pretty(value) {
+        Ok(body) => pages::json(Bytes::from(body)),
         Err(error) => {
-            return text(
-                http::StatusCode::INTERNAL_SERVER_ERROR,
-                &format!("{error}\n"),
-            );
+            log::error!(error:%; "admin: page is not encoded");
+            let status = http::StatusCode::INTERNAL_SERVER_ERROR;
+            text(status, &format!("{error}\n"))
         }
-    };
-    let mut answer = http::Response::new(Full::new(Bytes::from(body)));
-    let kind = http::HeaderValue::from_static("application/json");
-    answer
-        .headers_mut()
-        .insert(http::header::CONTENT_TYPE, kind);
-    answer
+    }
 }
 
 fn metrics(engine: &engine::Engine) -> Answer {
@@ -179,20 +149,22 @@
 }
 
 fn usage(engine: &engine::Engine) -> ledger::Usage {
+    let accounts = engine.shared().parts.accounts.as_ref();
     ledger::Usage {
         instance: engine.core().instance,
-        pages: engine.shared().parts.accounts.pages(),
+        pages: accounts.map(|a| a.pages()).unwrap_or_default(),
     }
 }
 
 fn burn(engine: &engine::Engine) -> ledger::Burn {
     let cluster = engine.core().cluster();
     let snapshot = cluster.map(|c| c.held().snapshot()).unwrap_or_default();
+    let accounts = engine.shared().parts.accounts.as_ref();
     let objectives = snapshot.services().map(|s| (s.name.clone(), s.objective));
     ledger::Burn {
         seconds: accounts::seconds(),
         objectives: objectives.collect(),
-        snapshots: engine.shared().parts.accounts.snapshots(),
+        snapshots: accounts.map(|a| a.snapshots()).unwrap_or_default(),
     }
 }
 
@@ -251,7 +223,10 @@
         d.service == service && d.server.as_ref() == Some(&server)
     };
     let decisions = decisions(engine).into_iter().filter(about).collect();
-    let ledger = engine.shared().parts.floors.view(service.clone()).await;
+    let ledger = match &engine.shared().parts.floors {
+        Some(floors) => floors.view(service.clone()).await,
+        None => None,
+    };
     json(&Explained {
         view,
         ledger,
--- a/crates/daemon/src/calls.rs
+++ b/crates/daemon/src/calls.rs
@@ -22,20 +22,26 @@
     pub core: Arc<core::Core>,
     /// The claims.
     pub claims: Arc<claims::Claims>,
-    /// The ledgers.
-    pub floors: floors::Floors,
-    /// The accounts.
-    pub accounts: Arc<accounts::Accounts>,
+    /// The ledgers, where ejections are kept in some.
+    pub floors: Option<floors::Floors>,
+    /// The accounts, where organisations are told apart.
+    pub accounts: Option<Arc<accounts::Accounts>>,
     /// Parts of tables that are being handed over to here.
     pub inbox: handover::Inbox,
 }
 
 impl Calls {
+    fn tell_floors(&self, input: floors::Input) {
+        if let Some(floors) = &self.floors {
+            floors.tell(input);
+        }
+    }
+
     fn leaving(&self, service: id::Service, server: id::Server) {
         if let Some(proxy) = self.core.proxy() {
             proxy.leaving(&service, &server);
         }
-        self.floors.tell(floors::Input::Leaving(service, server));
+        self.tell_floors(floors::Input::Leaving(service, server));
     }
 }
 
@@ -101,7 +107,12 @@
     }
 
     fn keep_usage(&self, _caller: handler::Caller, copy: usage::Copy) -> BoxFuture<'_, ()> {
-        async move { self.accounts.keep(&copy) }.boxed()
+        async move {
+            if let Some(accounts) = &self.accounts {
+                accounts.keep(&copy);
+            }
+        }
+        .boxed()
     }
 
     fn fetch_usage(
@@ -110,7 +121,8 @@
         request: usage::Fetch,
     ) -> BoxFuture<'_, usage::Copies> {
         async move {
-            let copies = self.accounts.kept(&request);
+            let accounts = self.accounts.as_ref();
+            let copies = accounts.map(|a| a.kept(&request)).unwrap_or_default();
             usage::Copies { copies }
         }
         .boxed()
@@ -122,9 +134,10 @@
         request: floor::Request,
     ) -> BoxFuture<'_, floor::Reply> {
         async move {
-            let answer = match floors::Question::decode(&request.payload) {
-                Some(question) => self.floors.question(caller, question).await,
-                None => floors::Answer::Unknown,
+            let question = floors::Question::decode(&request.payload);
+            let answer = match (&self.floors, question) {
+                (Some(floors), Some(question)) => floors.question(caller, question).await,
+                _ => floors::Answer::Unknown,
             };
             let payload = answer.encode();
             floor::Reply { payload }
@@ -165,11 +178,11 @@
             }
             news::News::Mark { service, mark } => {
                 let event = event::Event::Mark(mark);
-                self.floors.tell(floors::Input::Event(service, event));
+                self.tell_floors(floors::Input::Event(service, event));
             }
             news::News::Ledger { service, version } => {
                 let version = stored::Version(version);
-                self.floors.tell(floors::Input::Announced(service, version));
+                self.tell_floors(floors::Input::Announced(service, version));
             }
             news::News::Succession(succession) => {
                 let _known = self.claims.succeeded(succession);
--- a/crates/daemon/src/change.rs
+++ b/crates/daemon/src/change.rs
@@ -6,8 +6,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use monsooncart_platform::{configuration, object, store};
 use monsooncart_policy::rank;
+use monsooncart_store::{configuration, object, store};
 
 use crate::core;
 
--- a/crates/daemon/src/config.rs
+++ b/crates/daemon/src/config.rs
@@ -4,11 +4,11 @@
 
 use monsooncart_cluster::config as cluster;
 use monsooncart_config::settings;
-use monsooncart_platform::{store, vms};
 use monsooncart_policy::slots;
 use monsooncart_proxy::border;
+use monsooncart_store::{store, vms};
 
-use crate::{engine, error};
+use crate::{engine, error, gateway};
 
 /// Makes a daemon.
 pub struct Config {
@@ -17,6 +17,7 @@
     pub(crate) strategy: slots::Strategy,
     pub(crate) platform: Option<(Arc<dyn store::Store>, Arc<dyn vms::List>)>,
     pub(crate) timings: cluster::Timings,
+    pub(crate) interface: Option<gateway::Interface>,
 }
 
 impl Config {
@@ -29,6 +30,7 @@
             strategy: slots::Strategy::default(),
             platform: None,
             timings: cluster::Timings::default(),
+            interface: None,
         }
     }
 
@@ -60,6 +62,14 @@
         self
     }
 
+    /// How callers, servers and the store of a deployment are spoken to whose servers register
+    /// themselves; taken where the settings have a gateway.
+    #[must_use]
+    pub fn interface(mut self, interface: gateway::Interface) -> Self {
+        self.interface = Some(interface);
+        self
+    }
+
     /// Binds the listeners and starts the daemon.
     ///
     /// # Errors
--- a/crates/daemon/src/core.rs
+++ b/crates/daemon/src/core.rs
@@ -9,9 +9,10 @@
 use monsooncart_config::settings;
 use monsooncart_proxy::engine as proxy;
 use monsooncart_types::{instance, time};
+use tokio::sync::Notify;
 use tokio::time::Instant;
 
-use crate::entries;
+use crate::{entries, gateway};
 
 /// The shared state.
 pub struct Core {
@@ -21,6 +22,10 @@
     pub settings: settings::Settings,
     /// The entry sets of all services.
     pub entries: entries::Directory,
+    /// The entry sets of all data centres, in place of those of services, behind a gateway.
+    pub gateway: Option<gateway::entries::Entries>,
+    /// Told when there is evidence that other daemons have not heard.
+    pub stirred: Notify,
     origin: Instant,
     cluster: OnceLock<cluster::Engine>,
     proxy: OnceLock<proxy::Engine>,
@@ -33,6 +38,11 @@
         Self {
             instance: instance::Instance(rand::random()),
             entries: entries::Directory::new(settings.entry_count as usize),
+            gateway: settings
+                .gateway
+                .is_some()
+                .then(|| gateway::entries::Entries::new(settings.entry_count as usize)),
+            stirred: Notify::new(),
             settings,
             origin: Instant::now(),
             cluster: OnceLock::new(),
--- a/crates/daemon/src/embedded.rs
+++ b/crates/daemon/src/embedded.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use monsooncart_config::{fleet, object};
-use monsooncart_platform::{memory, object as stored, store::Store as _};
+use monsooncart_store::{memory, object as stored, store::Store as _};
 
 use crate::error;
 
--- a/crates/daemon/src/engine.rs
+++ b/crates/daemon/src/engine.rs
@@ -5,14 +5,14 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
-use monsooncart_platform::store;
+use monsooncart_store::store;
 use tokio::net::TcpListener;
 use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
 use crate::{
-    admin, change, config, core, error, evidence, follow, handover, parts, secret, status,
+    admin, change, config, core, error, evidence, follow, gateway, handover, parts, secret, status,
 };
 
 /// Time for the news of a planned stop to reach the entry answers of every daemon.
@@ -60,9 +60,11 @@
 impl Engine {
     pub(crate) async fn start(config: config::Config) -> Result<Self, error::Error> {
         let settings = config.settings;
-        let platform = match config.platform {
-            Some((store, vms)) => parts::Platform { store, vms },
-            None => parts::Platform::open(&settings.platform).await?,
+        let interface = config.interface.filter(|_| settings.gateway.is_some());
+        let platform = match (config.platform, &interface) {
+            (Some((store, vms)), _) => parts::Platform { store, vms },
+            (None, Some(interface)) => gateway::open(&settings, interface)?,
+            (None, None) => parts::Platform::open(&settings.platform).await?,
         };
         let secret = settings.secret.as_deref().map(secret::read).transpose()?;
         if settings.keys.is_some() && secret.is_none() {
@@ -70,11 +72,19 @@
         }
         let (caller_listener, callers) = bind("caller", settings.callers).await?;
         let (admin_listener, admin) = bind("admin", settings.admin).await?;
+        let gateway = match &settings.gateway {
+            Some(gateway) => Some((
+                bind("directory", gateway.directory).await?.0,
+                bind("readiness", gateway.readiness).await?.0,
+            )),
+            None => None,
+        };
         let parts = parts::Parts::new(settings, &platform)?;
-        let proxy = parts.start_path(config.policies, config.strategy)?;
+        let interface = interface.as_ref();
+        let proxy = parts.start_path(config.policies, config.strategy, interface)?;
         let store = platform.store.clone();
         parts
-            .join(platform, config.timings, secret, callers, admin)
+            .join(platform, config.timings, secret, callers, admin, interface)
             .await?;
         let engine = Self::new(parts, callers, admin);
         engine.spawn_parts(store);
@@ -82,6 +92,12 @@
         let serve = proxy.serve(caller_listener, quiet.cancelled_owned());
         engine.shared.serving.spawn(serve);
         engine.spawn(admin::serve(admin_listener, engine.clone()));
+        if let Some(((directory, readiness), interface)) = gateway.zip(interface) {
+            let questions = interface.questions.clone();
+            let pages = Arc::new(gateway::pages::Pages::new(engine.clone(), questions));
+            engine.spawn(gateway::pages::serve(directory, pages.clone()));
+            engine.spawn(gateway::pages::serve(readiness, pages));
+        }
         let core = engine.core();
         log::info!(vm:% = core.settings.name, instance:% = core.instance; "daemon: started");
         Ok(engine)
@@ -106,11 +122,17 @@
     fn spawn_parts(&self, store: Arc<dyn store::Store>) {
         let parts = &self.shared.parts;
         let core = &parts.core;
+        self.spawn(follow::run(core.clone(), parts.floors.clone()));
+        if core.gateway.is_some() {
+            self.spawn(gateway::evidence::tell(core.clone()));
+            return;
+        }
         self.spawn(parts.claims.clone().expire());
         self.spawn(change::complete(core.clone(), store));
         self.spawn(evidence::tell(core.clone()));
-        self.spawn(follow::run(core.clone(), parts.floors.clone()));
-        self.spawn(parts.accounts.clone().run());
+        if let Some(accounts) = parts.accounts.clone() {
+            self.spawn(accounts.run());
+        }
     }
 
     fn spawn(&self, task: impl Future<Output = ()> + Send + 'static) {
@@ -164,7 +186,8 @@
         }
         let cluster = self.shared.parts.core.cluster();
         let held = cluster.map(|c| c.held().snapshot());
-        let configured = held.is_some_and(|s| s.services().next().is_some());
+        let configured =
+            held.is_some_and(|s| s.services().next().is_some() || s.routing().is_some());
         match configured {
             true => status::Phase::Serving,
             false => status::Phase::Starting,
@@ -197,7 +220,11 @@
         if let Some(cluster) = core.cluster() {
             cluster.drain();
         }
-        tokio::time::sleep(SPREAD + core.settings.entry_lifetime.0).await;
+        let leave = match &core.settings.gateway {
+            Some(gateway) => gateway::leave_time(gateway),
+            None => SPREAD + core.settings.entry_lifetime.0,
+        };
+        tokio::time::sleep(leave).await;
         self.shared.quiet.cancel();
         self.shared.serving.close();
         self.shared.serving.wait().await;
@@ -207,12 +234,21 @@
     async fn finish(&self) {
         let core = &self.shared.parts.core;
         self.shared.parts.claims.table(|t| t.stop());
-        let handed = handover::offer(core, &self.shared.parts.claims).await;
-        self.shared.parts.accounts.finish().await;
-        let written = tokio::time::timeout(FLOORS_TIMEOUT, self.shared.parts.floors.stop()).await;
+        // Without tickets there is nothing to hand over.
+        let handed =
+            core.gateway.is_some() || handover::offer(core, &self.shared.parts.claims).await;
+        if let Some(accounts) = &self.shared.parts.accounts {
+            accounts.finish().await;
+        }
+        let written = match &self.shared.parts.floors {
+            Some(floors) => tokio::time::timeout(FLOORS_TIMEOUT, floors.stop())
+                .await
+                .is_ok(),
+            None => true,
+        };
         log::info!(
             claims_handed_over = handed,
-            tokens_returned = written.is_ok();
+            tokens_returned = written;
             "daemon: stopped"
         );
         self.shared.stop.cancel();
--- a/crates/daemon/src/error.rs
+++ b/crates/daemon/src/error.rs
@@ -27,6 +27,9 @@
         /// Why.
         reason: String,
     },
+    /// A gateway is wanted before an embedded platform.
+    #[display("settings: a gateway needs the address of the platform, not an embedded one")]
+    Embedded,
     /// The file with the fleet's secret is of no use.
     #[display("secret of the fleet: file {file}: {reason}")]
     Secret {
--- a/crates/daemon/src/fleet.rs
+++ b/crates/daemon/src/fleet.rs
@@ -20,11 +20,17 @@
 pub struct Fleet {
     /// What the parts share.
     pub core: Arc<core::Core>,
-    /// The ledgers.
-    pub floors: floors::Floors,
+    /// The ledgers, where ejections are kept in some.
+    pub floors: Option<floors::Floors>,
 }
 
 impl Fleet {
+    fn tell_floors(&self, input: floors::Input) {
+        if let Some(floors) = &self.floors {
+            floors.tell(input);
+        }
+    }
+
     fn publish(&self, news: news::News) {
         if let Some(cluster) = self.core.cluster() {
             cluster.publish(news, scope::Scope::Fleet);
@@ -37,7 +43,10 @@
         let Some(cluster) = self.core.cluster() else {
             return;
         };
-        let set = self.core.entries.set(service).to_vec();
+        let set = match &self.core.gateway {
+            Some(gateway) => gateway.all(),
+            None => self.core.entries.set(service).to_vec(),
+        };
         cluster.publish(news.clone(), scope::Scope::Members(set));
         cluster.publish(news, scope::Scope::Fleet);
     }
@@ -61,14 +70,12 @@
         };
         let server = server.clone();
         let event = event::Event::Eject { server, ejection };
-        self.floors
-            .tell(floors::Input::Event(service.clone(), event));
+        self.tell_floors(floors::Input::Event(service.clone(), event));
     }
 
     fn restore(&self, service: &id::Service, server: &id::Server) {
         let event = event::Event::Restore(server.clone());
-        self.floors
-            .tell(floors::Input::Event(service.clone(), event));
+        self.tell_floors(floors::Input::Event(service.clone(), event));
     }
 
     fn blame(&self, service: &id::Service, request: handle::Fingerprint, server: &id::Server) {
@@ -99,7 +106,7 @@
             server: server.clone(),
         });
         let input = floors::Input::Leaving(service.clone(), server.clone());
-        self.floors.tell(input);
+        self.tell_floors(input);
     }
 
     fn entries(&self, service: &id::Service) -> Option<(Vec<border::Entry>, Duration)> {
@@ -122,8 +129,15 @@
         Some((entries, settings.entry_lifetime.0))
     }
 
+    fn stir(&self) {
+        self.core.stirred.notify_one();
+    }
+
     fn sharers(&self, service: &id::Service) -> u32 {
-        let count = self.core.entries.set(service).len();
+        let count = match &self.core.gateway {
+            Some(gateway) => gateway.count(),
+            None => self.core.entries.set(service).len(),
+        };
         u32::try_from(count).unwrap_or(u32::MAX).max(1)
     }
 }
--- a/crates/daemon/src/floors.rs
+++ b/crates/daemon/src/floors.rs
@@ -10,8 +10,8 @@
 
 use bytes::Bytes;
 use monsooncart_config::service;
-use monsooncart_platform::store;
 use monsooncart_policy::floor::{action, ask, capacity, event, record, stored};
+use monsooncart_store::store;
 use monsooncart_types::{id, instance};
 use tokio::sync::{mpsc, oneshot};
 
--- a/crates/daemon/src/follow.rs
+++ b/crates/daemon/src/follow.rs
@@ -9,7 +9,7 @@
 
 /// Puts each new configuration in force in the request path and the ledgers, and has the entry
 /// sets follow it and the members.
-pub async fn run(core: Arc<core::Core>, floors: floors::Floors) {
+pub async fn run(core: Arc<core::Core>, floors: Option<floors::Floors>) {
     let (Some(cluster), Some(proxy)) = (core.cluster(), core.proxy()) else {
         return;
     };
@@ -18,15 +18,25 @@
     let mut told = map::Map::<id::Service, u64>::default();
     loop {
         let snapshot = cluster.held().snapshot();
-        let moved = core.entries.follow(&snapshot, &cluster.members());
+        let members = cluster.members();
+        let moved = match &core.gateway {
+            Some(gateway) => {
+                let services = snapshot.services().map(|s| s.name.clone());
+                let moved = gateway.follow(&members);
+                services.filter(|_| moved).collect()
+            }
+            None => core.entries.follow(&snapshot, &members),
+        };
         if !Arc::ptr_eq(&snapshot, &proxy.snapshot()) {
             proxy.configure(snapshot.clone());
         }
-        for (service, version) in changed(&snapshot, &mut told) {
-            floors.tell(floors::Input::Configuration(service, version));
-        }
-        for service in &moved {
-            tell_holders(&core, &floors, service);
+        if let Some(floors) = &floors {
+            for (service, version) in changed(&snapshot, &mut told) {
+                floors.tell(floors::Input::Configuration(service, version));
+            }
+            for service in &moved {
+                tell_holders(&core, floors, service);
+            }
         }
         if !moved.is_empty() {
             proxy.sharers_changed();
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -9,7 +9,9 @@
 //! - [`fleet`] is what the request path sees of the rest of the fleet;
 //! - [`accounts`] counts what the daemon carried, and keeps it;
 //! - [`calls`] answers the calls of other daemons;
-//! - [`admin`] answers operators.
+//! - [`admin`] answers operators;
+//! - [`gateway`] is what a deployment needs whose servers register themselves and whose callers ask
+//!   a directory for addresses.
 
 pub mod accounts;
 pub mod admin;
@@ -26,11 +28,13 @@
 pub mod fleet;
 pub mod floors;
 pub mod follow;
+pub mod gateway;
 pub mod handover;
 pub mod ledger;
 pub mod lock;
 pub mod meter;
 pub mod operator;
+pub mod pages;
 pub mod parts;
 pub mod policies;
 pub mod secret;
--- a/crates/daemon/src/meter.rs
+++ b/crates/daemon/src/meter.rs
@@ -16,13 +16,15 @@
 
 /// Counts what organisations use.
 pub struct Meter {
-    /// Where it is counted.
-    pub accounts: Arc<accounts::Accounts>,
+    /// Where it is counted, where organisations are told apart.
+    pub accounts: Option<Arc<accounts::Accounts>>,
 }
 
 impl border::Meter for Meter {
     fn record(&self, record: &border::Record) {
-        self.accounts.record(&sample(record));
+        if let Some(accounts) = &self.accounts {
+            accounts.record(&sample(record));
+        }
     }
 }
 
--- a/crates/daemon/src/parts.rs
+++ b/crates/daemon/src/parts.rs
@@ -5,14 +5,15 @@
 
 use monsooncart_cluster::{config as cluster, engine as between};
 use monsooncart_config::settings;
-use monsooncart_platform::{client, memory, store, vms};
 use monsooncart_policy::membership::member;
 use monsooncart_policy::slots;
 use monsooncart_proxy::{border, config as proxy, engine as path};
+use monsooncart_store::{client, memory, store, vms};
 use monsooncart_wire::datagram;
 
 use crate::{
-    accounts, calls, claims, core, embedded, error, fleet, floors, handover, meter, policies,
+    accounts, calls, claims, core, embedded, error, fleet, floors, gateway, handover, meter,
+    policies,
 };
 
 /// The platform, as two borders.
@@ -56,10 +57,10 @@
     pub core: Arc<core::Core>,
     /// Claims on tickets.
     pub claims: Arc<claims::Claims>,
-    /// The ledgers of ejections.
-    pub floors: floors::Floors,
-    /// Accounts of traffic.
-    pub accounts: Arc<accounts::Accounts>,
+    /// The ledgers of ejections; none behind a gateway, where nothing is ejected.
+    pub floors: Option<floors::Floors>,
+    /// Accounts of traffic; none behind a gateway, where organisations are not told apart.
+    pub accounts: Option<Arc<accounts::Accounts>>,
     /// Where metrics are registered.
     pub registry: prometheus::Registry,
 }
@@ -74,16 +75,20 @@
         let registry = prometheus::Registry::new();
         let core = Arc::new(core::Core::new(settings));
         let claims = Arc::new(claims::Claims::new(core.clone()));
-        let floors = floors::Floors::start(core.clone(), platform.store.clone());
-        let accounts = accounts::Accounts::new(core.clone(), platform.store.clone(), &registry);
-        let accounts = Arc::new(accounts.map_err(error::Error::Metrics)?);
-        Ok(Self {
+        let mut parts = Self {
             core,
             claims,
-            floors,
-            accounts,
+            floors: None,
+            accounts: None,
             registry,
-        })
+        };
+        if parts.core.settings.gateway.is_none() {
+            let (core, store) = (&parts.core, &platform.store);
+            parts.floors = Some(floors::Floors::start(core.clone(), store.clone()));
+            let accounts = accounts::Accounts::new(core.clone(), store.clone(), &parts.registry);
+            parts.accounts = Some(Arc::new(accounts.map_err(error::Error::Metrics)?));
+        }
+        Ok(parts)
     }
 
     /// Makes the request path and sets it in the core.
@@ -95,10 +100,17 @@
         &self,
         policies: Option<Arc<dyn border::Policies>>,
         strategy: slots::Strategy,
+        interface: Option<&gateway::Interface>,
     ) -> Result<path::Engine, error::Error> {
-        let balanced = policies::Balanced {
-            instance: self.core.instance,
-            strategy,
+        let own: Arc<dyn border::Policies> = match &self.core.settings.gateway {
+            Some(gateway) => Arc::new(policies::Selecting {
+                instance: self.core.instance,
+                retries: gateway::retries(gateway),
+            }),
+            None => Arc::new(policies::Balanced {
+                instance: self.core.instance,
+                strategy,
+            }),
         };
         let rest = fleet::Fleet {
             core: self.core.clone(),
@@ -113,7 +125,9 @@
             .fleet(Arc::new(rest))
             .claims(Arc::new(claims::Border(self.claims.clone())))
             .meter(Arc::new(meter))
-            .policies(policies.unwrap_or_else(|| Arc::new(balanced)))
+            .policies(policies.unwrap_or(own))
+            .pool(interface.map_or_else(Default::default, |_| gateway::pool()))
+            .hosts(interface.map(|interface| interface.headers.clone()))
             .registry(&self.registry)
             .build()
             .map_err(error::Error::Proxy)?;
@@ -133,6 +147,7 @@
         secret: Option<datagram::Secret>,
         callers: net::SocketAddr,
         admin: net::SocketAddr,
+        interface: Option<&gateway::Interface>,
     ) -> Result<(), error::Error> {
         let settings = &self.core.settings;
         let handler = calls::Calls {
@@ -143,18 +158,22 @@
             inbox: handover::Inbox::default(),
         };
         let member = self.member(callers, admin);
-        let cluster: between::Engine =
-            cluster::Config::new(member, settings.peers, Arc::new(handler))
-                .seeds(settings.seeds.clone())
-                .advertise(settings.advertise_peers)
-                .keys(settings.keys.clone())
-                .secret(secret)
-                .vms(platform.vms)
-                .store(platform.store)
-                .timings(timings)
-                .start()
-                .await
-                .map_err(error::Error::Cluster)?;
+        let mut config = cluster::Config::new(member, settings.peers, Arc::new(handler))
+            .seeds(gateway::seeds(settings))
+            .advertise(settings.advertise_peers)
+            .keys(settings.keys.clone())
+            .secret(secret)
+            .store(platform.store)
+            .timings(timings);
+        config = match interface {
+            // Members find each other by seeds and gossip alone.
+            Some(interface) => config
+                .open()
+                .source(interface.source.clone())
+                .timings(gateway::timings()),
+            None => config.vms(platform.vms),
+        };
+        let cluster: between::Engine = config.start().await.map_err(error::Error::Cluster)?;
         self.core.set_cluster(cluster);
         Ok(())
     }
@@ -168,7 +187,7 @@
             callers,
             admin,
             data_centre: settings.data_centre.clone(),
-            region: settings.region.clone(),
+            region: gateway::scope(settings),
             state: member::State::Alive,
             leaving: false,
         }
--- a/crates/daemon/src/policies.rs
+++ b/crates/daemon/src/policies.rs
@@ -1,6 +1,6 @@
 //! The policy of each service.
 
-use monsooncart_policy::{balancer, naive, service, slots};
+use monsooncart_policy::{balancer, naive, selector, service, slots};
 use monsooncart_proxy::border;
 use monsooncart_types::{id, instance};
 
@@ -22,6 +22,24 @@
     }
 }
 
+/// Makes the policy for servers that turn gray for seconds at a time.
+#[derive(Clone, Copy, Debug)]
+pub struct Selecting {
+    /// The run of the daemon.
+    pub instance: instance::Instance,
+    /// What retries may add to the load of a service, over all daemons.
+    pub retries: selector::budget::Limits,
+}
+
+impl border::Policies for Selecting {
+    fn policy(&self, _service: &id::Service) -> Box<dyn service::Policy> {
+        let config = selector::Config::new(rand::random())
+            .instance(self.instance)
+            .retries(self.retries);
+        Box::new(config.build())
+    }
+}
+
 /// Makes the naive baseline, for experiments.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Naive;
--- a/crates/policy/src/balancer.rs
+++ b/crates/policy/src/balancer.rs
@@ -101,7 +101,7 @@
         }
     }
 
-    fn digest(&self, now: time::Time) -> Vec<(handle::Server, event::Digest)> {
+    fn digest(&mut self, now: time::Time) -> Vec<(handle::Server, event::Digest)> {
         let digest = |b: &backend::Backend| b.digest(now, &self.limits);
         let digests = self.backends.iter().map(|b| (b.spec.handle, digest(b)));
         digests.filter(|(_, d)| !backend::silent(d)).collect()
--- a/crates/policy/src/balancer/finish.rs
+++ b/crates/policy/src/balancer/finish.rs
@@ -10,9 +10,6 @@
 /// Lowest status of an answer that counts as an error.
 const ERROR: u16 = 500;
 
-/// Attempts of one request at most.
-const ATTEMPTS: usize = 4;
-
 /// Weight of a new time in a running mean.
 const MEAN_WEIGHT: f64 = 0.1;
 
@@ -156,7 +153,10 @@
         }
         match report.end {
             outcome::End::Broken => self.broken(now, at, flight, actions),
-            outcome::End::Garbled | outcome::End::Unsent => {
+            outcome::End::Garbled
+            | outcome::End::Unsent
+            | outcome::End::Misdirected
+            | outcome::End::Failed(_) => {
                 self.observe(now, at, evidence::Kind::Error, actions);
             }
             outcome::End::Shed { leaving: false } => {
@@ -301,7 +301,7 @@
         report.replayable
             && harmless
             && !flight.fingerprint.is_some_and(poison)
-            && pending.tried.len() < ATTEMPTS
+            && pending.tried.len() < arrival.attempts as usize
             && now + self.head_time() <= arrival.deadline
             && self.budget.retry()
     }
--- a/crates/policy/src/event.rs
+++ b/crates/policy/src/event.rs
@@ -17,6 +17,14 @@
     pub weight: u32,
     /// Whether it may be sent more than once.
     pub repeatable: bool,
+    /// Servers that it may be sent to, at most.
+    pub attempts: u32,
+    /// Rank under load; 0 is the highest.
+    pub priority: u32,
+    /// Time within which an answer is worth the most, where that is known of the request.
+    pub objective: Option<Duration>,
+    /// Usual size of the answers to such requests, in bytes; 0 where it is not known.
+    pub answer_bytes: u64,
     /// Latest time for the head of its answer.
     pub deadline: time::Time,
     /// Tells repeats of it, where its body is known.
--- a/crates/policy/src/inventory.rs
+++ b/crates/policy/src/inventory.rs
@@ -19,6 +19,10 @@
     pub near: bool,
     /// Whether it is leaving.
     pub leaving: bool,
+    /// How much longer it is slow after its start, as it said last.
+    pub cold: Duration,
+    /// When this run of it started, in milliseconds since 1970; 0 where that is not known.
+    pub started_millis: u64,
 }
 
 /// A service.
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -22,5 +22,6 @@
 pub mod rank;
 pub mod retry;
 pub mod rollout;
+pub mod selector;
 pub mod service;
 pub mod slots;
--- a/crates/policy/src/naive.rs
+++ b/crates/policy/src/naive.rs
@@ -167,7 +167,7 @@
         }
     }
 
-    fn digest(&self, _now: time::Time) -> Vec<(handle::Server, event::Digest)> {
+    fn digest(&mut self, _now: time::Time) -> Vec<(handle::Server, event::Digest)> {
         Vec::new()
     }
 
--- a/crates/policy/src/outcome.rs
+++ b/crates/policy/src/outcome.rs
@@ -30,6 +30,10 @@
 pub enum End {
     /// A whole answer came, with this status.
     Answered(u16),
+    /// A whole answer came that says that the server failed; it is kept back.
+    Failed(u16),
+    /// Another server has the address; it refused the request as not run.
+    Misdirected,
     /// The server refused the request as not run: it sheds load or is leaving.
     Shed {
         /// Whether the server said that it is leaving.
@@ -52,7 +56,7 @@
     #[must_use]
     pub fn run(self) -> Run {
         match self {
-            Self::Shed { .. } | Self::Unsent => Run::NotRun,
+            Self::Shed { .. } | Self::Unsent | Self::Misdirected => Run::NotRun,
             _ => Run::Unknown,
         }
     }
--- /dev/null
+++ b/crates/policy/src/selector.rs
@@ -0,0 +1,578 @@
+//! Chooses servers by what was seen of each of them last.
+//!
+//! For services whose servers turn gray for a few seconds at a time, many at once, and whose
+//! floor leaves no room to take them out: no server is ejected. Each attempt goes where it costs
+//! the least, as [`server::Server::cost`] has it: by the chance that it fails, the wait, the way
+//! between data centres. Requests that may run again are the scouts: they go where evidence has
+//! grown old, and once more elsewhere where they fail. Requests that may not run again go where
+//! a success was seen last.
+//!
+//! Invariants: every request that arrives gets exactly one end, an answered attempt, a refusal or
+//! the caller's own departure; no request is sent to more servers than it allows; one that may
+//! not run again has at most one attempt whose end is unknown, and none after it.
+
+pub mod belief;
+pub mod budget;
+mod config;
+mod flight;
+mod server;
+
+use std::time::Duration;
+
+use monsooncart_types::{map, time};
+use rand::RngExt as _;
+use rand::rngs::SmallRng;
+
+use crate::{action, event, handle, inventory, outcome, poison, service};
+
+pub use config::Config;
+
+/// Lowest status of an answer that counts as an error.
+const ERROR: u16 = 500;
+
+/// Part of the objective after which a repeatable request is sent to a second server.
+const HEDGE: f64 = 0.5;
+
+/// Times the usual time to an answer before which no request is sent to a second server.
+const HEDGE_USUAL: f64 = 2.0;
+
+/// Times the usual time to an answer from which an attempt counts as slow.
+const SLOW: f64 = 3.0;
+
+/// Weight of a new time in a running mean.
+const MEAN_WEIGHT: f64 = 0.05;
+
+/// Share of the objective that an attempt is taken to last before any was seen.
+const UNSEEN: f64 = 0.25;
+
+/// When a refused caller is to come back, in times of the usual time to an answer.
+const COME_BACK: f64 = 1.0;
+
+/// Shortest and longest time to come back in.
+const COME_BACK_BOUNDS: [Duration; 2] = [Duration::from_millis(100), Duration::from_secs(2)];
+
+/// Difference in cost below which servers are taken for equal, so that daemons do not all choose
+/// the same one.
+const EQUAL: f64 = 0.01;
+
+/// A request without an end.
+#[derive(Clone, Debug)]
+struct Pending {
+    arrival: event::Arrival,
+    attempts: Vec<handle::Attempt>,
+    tried: Vec<handle::Server>,
+    unknown: bool,
+}
+
+/// How an attempt ended.
+#[derive(Clone, Copy, Debug)]
+struct Report {
+    end: outcome::End,
+    replayable: bool,
+    retry_after: Option<Duration>,
+}
+
+/// Decides about one service.
+pub struct Selector {
+    config: Config,
+    rng: SmallRng,
+    servers: Vec<server::Server>,
+    places: map::Map<handle::Server, usize>,
+    requests: map::Map<handle::Request, Pending>,
+    flights: map::Map<handle::Attempt, flight::Flight>,
+    attempts: u64,
+    budget: budget::Budget,
+    poison: poison::Register,
+    /// Running mean of the time to an answer.
+    usual: Option<Duration>,
+    /// Time within which the service's answers are worth the most.
+    promise: Duration,
+    daemons: u32,
+}
+
+impl service::Policy for Selector {
+    fn handle(&mut self, now: time::Time, event: event::Event, actions: &mut Vec<action::Action>) {
+        match event {
+            event::Event::Inventory(inventory) => self.inventory(now, inventory),
+            event::Event::Arrive(arrival) => self.arrive(now, arrival, actions),
+            event::Event::Withdraw(request) => self.withdraw(request, actions),
+            event::Event::Finish {
+                attempt,
+                end,
+                replayable,
+                retry_after,
+            } => {
+                let report = Report {
+                    end,
+                    replayable,
+                    retry_after,
+                };
+                self.finish(now, attempt, report, actions);
+            }
+            event::Event::Leaving(server) => {
+                if let Some(server) = self.server(server) {
+                    server.left = true;
+                }
+            }
+            event::Event::Evidence { from, digests } => {
+                if from != self.config.instance {
+                    self.hear(now, from, &digests);
+                }
+            }
+            event::Event::Blame {
+                fingerprint,
+                server,
+            } => self.blame(now, fingerprint, server, actions),
+            event::Event::Quarantine { fingerprint, until } => {
+                self.poison.quarantine(fingerprint, until);
+            }
+            event::Event::Tick => self.tick(now, actions),
+            event::Event::Head { .. }
+            | event::Event::Probe { .. }
+            | event::Event::Ejection { .. } => {}
+        }
+    }
+
+    fn is_idle(&self) -> bool {
+        self.flights.is_empty()
+    }
+
+    fn digest(&mut self, _now: time::Time) -> Vec<(handle::Server, event::Digest)> {
+        let changed = self.servers.iter_mut();
+        changed.filter_map(server::Server::digest).collect()
+    }
+
+    fn view(&self, now: time::Time) -> Vec<service::View> {
+        self.servers.iter().map(|s| s.view(now)).collect()
+    }
+}
+
+impl Selector {
+    fn server(&mut self, server: handle::Server) -> Option<&mut server::Server> {
+        let place = *self.places.get(&server)?;
+        self.servers.get_mut(place)
+    }
+
+    /// Takes a configuration; what is known of a run of a server stays.
+    fn inventory(&mut self, now: time::Time, inventory: inventory::Inventory) {
+        self.promise = inventory.latency;
+        self.daemons = inventory.daemons.max(1);
+        let mut old: map::Map<_, _> = self
+            .servers
+            .drain(..)
+            .map(|server| (server.spec.handle, server))
+            .collect();
+        for spec in inventory.servers {
+            let held = old.remove(&spec.handle);
+            self.servers.push(match held {
+                Some(held) => held.respecified(now, spec),
+                None => server::Server::new(now, spec),
+            });
+        }
+        let places = self.servers.iter().enumerate();
+        self.places = places.map(|(i, s)| (s.spec.handle, i)).collect();
+    }
+
+    fn arrive(
+        &mut self,
+        now: time::Time,
+        arrival: event::Arrival,
+        actions: &mut Vec<action::Action>,
+    ) {
+        let request = arrival.request;
+        if self.requests.contains_key(&request) {
+            return;
+        }
+        self.budget.arrived(now);
+        let quarantined = |f| self.poison.quarantined(now, f);
+        if let Some(until) = arrival.fingerprint.and_then(quarantined) {
+            let refusal = outcome::Refusal {
+                reason: outcome::Reason::Poison,
+                run: outcome::Run::NotRun,
+                retry_after: Some(until.since(now)),
+            };
+            actions.push(action::Action::Refuse { request, refusal });
+            return;
+        }
+        let pending = Pending {
+            arrival,
+            attempts: Vec::new(),
+            tried: Vec::new(),
+            unknown: false,
+        };
+        let target = self.choose(now, &pending);
+        self.requests.insert(request, pending);
+        match target {
+            Some(target) => self.send(now, request, target, actions),
+            None => {
+                let reason = self.lack();
+                self.refuse(request, reason, actions);
+            }
+        }
+    }
+
+    /// Why no server was found for a request.
+    fn lack(&self) -> outcome::Reason {
+        if self.servers.iter().all(server::Server::is_out) {
+            outcome::Reason::NoServer
+        } else {
+            outcome::Reason::Overload
+        }
+    }
+
+    fn withdraw(&mut self, request: handle::Request, actions: &mut Vec<action::Action>) {
+        if let Some(pending) = self.requests.remove(&request) {
+            self.cancel(&pending.attempts, actions);
+        }
+    }
+
+    fn cancel(&mut self, attempts: &[handle::Attempt], actions: &mut Vec<action::Action>) {
+        for attempt in attempts {
+            if let Some(flight) = self.flights.get_mut(attempt) {
+                flight.cancelled = true;
+                actions.push(action::Action::Cancel(*attempt));
+            }
+        }
+    }
+
+    /// Time that an attempt usually takes to its answer.
+    fn usual(&self) -> Duration {
+        self.usual.unwrap_or(self.promise.mul_f64(UNSEEN))
+    }
+
+    /// The server that costs the least; at random between those that cost about the same.
+    fn choose(&mut self, now: time::Time, pending: &Pending) -> Option<usize> {
+        let arrival = &pending.arrival;
+        let left = arrival.attempts.saturating_sub(pending.tried.len() as u32);
+        if left == 0 {
+            return None;
+        }
+        let broke = arrival.fingerprint.and_then(|f| self.poison.broke(f));
+        let errand = server::Errand {
+            scout: arrival.repeatable && left > 1 && pending.tried.is_empty(),
+            priority: arrival.priority,
+            answer_bytes: arrival.answer_bytes,
+            wait_unit: self.usual().div_duration_f64(self.objective(arrival)),
+        };
+        let costs = self
+            .servers
+            .iter()
+            .enumerate()
+            .filter_map(|(place, server)| {
+                let handle = server.spec.handle;
+                let tried = pending.tried.contains(&handle) || broke == Some(handle);
+                let cost = if tried {
+                    None
+                } else {
+                    server.cost(now, &errand)
+                };
+                cost.map(|cost| (place, cost))
+            });
+        let costs: Vec<(usize, f64)> = costs.collect();
+        let least = costs.iter().map(|(_, cost)| *cost).min_by(f64::total_cmp)?;
+        let equal: Vec<usize> = costs
+            .iter()
+            .filter(|(_, cost)| *cost <= least + EQUAL)
+            .map(|(place, _)| *place)
+            .collect();
+        equal.get(self.rng.random_range(0..equal.len())).copied()
+    }
+
+    fn objective(&self, arrival: &event::Arrival) -> Duration {
+        let objective = arrival.objective.unwrap_or(self.promise);
+        objective.max(Duration::from_millis(1))
+    }
+
+    fn send(
+        &mut self,
+        now: time::Time,
+        request: handle::Request,
+        place: usize,
+        actions: &mut Vec<action::Action>,
+    ) {
+        let Some(pending) = self.requests.get_mut(&request) else {
+            return;
+        };
+        self.attempts += 1;
+        let attempt = handle::Attempt(self.attempts);
+        let target = &mut self.servers[place];
+        let server = target.spec.handle;
+        target.sent(now);
+        pending.attempts.push(attempt);
+        pending.tried.push(server);
+        let flight = flight::Flight {
+            request,
+            server,
+            started_millis: target.spec.started_millis,
+            sent: now,
+            slow: false,
+            cancelled: false,
+            fingerprint: pending.arrival.fingerprint,
+        };
+        self.flights.insert(attempt, flight);
+        actions.push(action::Action::Send {
+            request,
+            attempt,
+            server,
+            fresh: !pending.arrival.repeatable,
+        });
+    }
+
+    fn refuse(
+        &mut self,
+        request: handle::Request,
+        reason: outcome::Reason,
+        actions: &mut Vec<action::Action>,
+    ) {
+        let Some(pending) = self.requests.remove(&request) else {
+            return;
+        };
+        let run = if pending.unknown || !pending.attempts.is_empty() {
+            outcome::Run::Unknown
+        } else {
+            outcome::Run::NotRun
+        };
+        self.cancel(&pending.attempts, actions);
+        let jitter: f64 = self.rng.random();
+        let [least, most] = COME_BACK_BOUNDS;
+        let back = self.usual().mul_f64(COME_BACK * (0.5 + jitter));
+        let refusal = outcome::Refusal {
+            reason,
+            run,
+            retry_after: Some(back.clamp(least, most)),
+        };
+        actions.push(action::Action::Refuse { request, refusal });
+    }
+
+    fn finish(
+        &mut self,
+        now: time::Time,
+        attempt: handle::Attempt,
+        report: Report,
+        actions: &mut Vec<action::Action>,
+    ) {
+        let Some(flight) = self.flights.remove(&attempt) else {
+            return;
+        };
+        self.learn(now, &flight, &report, actions);
+        if flight.cancelled {
+            return;
+        }
+        let Some(pending) = self.requests.get_mut(&flight.request) else {
+            return;
+        };
+        pending.attempts.retain(|&a| a != attempt);
+        pending.unknown |= report.end.run() == outcome::Run::Unknown;
+        if let outcome::End::Answered(_) | outcome::End::Cancelled = report.end {
+            let others = std::mem::take(&mut pending.attempts);
+            self.requests.remove(&flight.request);
+            self.cancel(&others, actions);
+            return;
+        }
+        if !pending.attempts.is_empty() {
+            return;
+        }
+        self.again(now, &flight, &report, actions);
+    }
+
+    /// Takes what the end of an attempt says of its server and of its request.
+    fn learn(
+        &mut self,
+        now: time::Time,
+        flight: &flight::Flight,
+        report: &Report,
+        actions: &mut Vec<action::Action>,
+    ) {
+        let span = now.since(flight.sent);
+        let late = span >= self.usual().mul_f64(SLOW);
+        if let outcome::End::Answered(_) = report.end {
+            let old = self.usual();
+            let mean = old.mul_f64(1.0 - MEAN_WEIGHT) + span.mul_f64(MEAN_WEIGHT);
+            self.usual = Some(if self.usual.is_some() { mean } else { span });
+            if let Some(fingerprint) = flight.fingerprint {
+                self.poison.answered(fingerprint);
+            }
+        }
+        let Some(server) = self.server(flight.server) else {
+            return;
+        };
+        server.ended();
+        if server.spec.started_millis != flight.started_millis {
+            // Another run of the server took its name meanwhile.
+            return;
+        }
+        match report.end {
+            outcome::End::Answered(status) if status < ERROR => server.did_well(now),
+            outcome::End::Answered(_) | outcome::End::Failed(_) | outcome::End::Garbled => {
+                server.failed(now);
+            }
+            outcome::End::Broken => {
+                server.failed(now);
+                self.broken(now, flight, actions);
+            }
+            outcome::End::Timeout if late && !flight.slow => server.failed(now),
+            outcome::End::Shed { leaving } => {
+                server.shed(now, report.retry_after);
+                server.left |= leaving;
+            }
+            outcome::End::Misdirected => server.replaced = true,
+            outcome::End::Unsent => server.unreachable(now),
+            outcome::End::Timeout | outcome::End::Cancelled => {}
+        }
+    }
+
+    /// Takes the break of a connection, which may be the request's doing.
+    fn broken(
+        &mut self,
+        now: time::Time,
+        flight: &flight::Flight,
+        actions: &mut Vec<action::Action>,
+    ) {
+        let Some(fingerprint) = flight.fingerprint else {
+            return;
+        };
+        let server = flight.server;
+        let verdict = self.poison.broken(now, fingerprint, server, 0.0);
+        if verdict == poison::Verdict::Blamed {
+            actions.push(action::Action::Blame {
+                fingerprint,
+                server,
+            });
+        }
+        Self::convict(fingerprint, verdict, actions);
+    }
+
+    /// Takes the break of a server that another daemon saw.
+    fn blame(
+        &mut self,
+        now: time::Time,
+        fingerprint: handle::Fingerprint,
+        server: handle::Server,
+        actions: &mut Vec<action::Action>,
+    ) {
+        let verdict = self.poison.broken(now, fingerprint, server, 0.0);
+        Self::convict(fingerprint, verdict, actions);
+    }
+
+    fn convict(
+        fingerprint: handle::Fingerprint,
+        verdict: poison::Verdict,
+        actions: &mut Vec<action::Action>,
+    ) {
+        if let poison::Verdict::Poison { .. } = verdict {
+            actions.push(action::Action::Quarantine {
+                fingerprint,
+                span: poison::SPAN,
+            });
+        }
+    }
+
+    /// Sends a request once more where it may, and ends it elsewhere.
+    fn again(
+        &mut self,
+        now: time::Time,
+        flight: &flight::Flight,
+        report: &Report,
+        actions: &mut Vec<action::Action>,
+    ) {
+        let request = flight.request;
+        let Some(pending) = self.requests.get(&request).cloned() else {
+            return;
+        };
+        let arrival = pending.arrival;
+        let quarantined = |f| self.poison.quarantined(now, f).is_some();
+        let poisonous = flight.fingerprint.is_some_and(quarantined);
+        let may = report.replayable
+            && (arrival.repeatable || !pending.unknown)
+            && !poisonous
+            && now < arrival.deadline;
+        // An attempt that reached no server adds no work.
+        let free = report.end == outcome::End::Unsent;
+        let target = if may && (free || self.budget.affords(now, self.daemons)) {
+            self.choose(now, &pending)
+        } else {
+            None
+        };
+        if let Some(target) = target {
+            if !free {
+                self.budget.spend(now);
+            }
+            self.send(now, request, target, actions);
+            return;
+        }
+        let reason = match report.end {
+            _ if poisonous => outcome::Reason::Poison,
+            _ if pending.unknown && !arrival.repeatable => outcome::Reason::Unknown,
+            outcome::End::Timeout => outcome::Reason::Timeout,
+            outcome::End::Shed { .. } => outcome::Reason::Overload,
+            _ => outcome::Reason::Exhausted,
+        };
+        self.refuse(request, reason, actions);
+    }
+
+    /// Takes a peer's evidence.
+    fn hear(
+        &mut self,
+        now: time::Time,
+        from: monsooncart_types::instance::Instance,
+        digests: &[(handle::Server, event::Digest)],
+    ) {
+        for (server, digest) in digests {
+            if let Some(server) = self.server(*server) {
+                server.hear(now, from, digest);
+            }
+        }
+    }
+
+    /// Looks at the attempts that wait for their answers.
+    fn tick(&mut self, now: time::Time, actions: &mut Vec<action::Action>) {
+        if !self.poison.is_empty() {
+            self.poison.expire(now);
+        }
+        let slow = self.usual().mul_f64(SLOW);
+        let mut waiting = Vec::new();
+        for (attempt, flight) in &mut self.flights {
+            let age = now.since(flight.sent);
+            if age >= slow && !flight.slow && !flight.cancelled {
+                flight.slow = true;
+                if let Some(place) = self.places.get(&flight.server) {
+                    self.servers[*place].slow(now);
+                }
+            }
+            waiting.push((*attempt, flight.request, age));
+        }
+        for (_, request, age) in waiting {
+            self.hedge(now, request, age, actions);
+        }
+    }
+
+    /// Sends a second attempt of a repeatable request that waits too long for its answer.
+    fn hedge(
+        &mut self,
+        now: time::Time,
+        request: handle::Request,
+        age: Duration,
+        actions: &mut Vec<action::Action>,
+    ) {
+        let Some(pending) = self.requests.get(&request) else {
+            return;
+        };
+        let arrival = &pending.arrival;
+        let blamed = |f| self.poison.blamed(f);
+        let due = self.objective(arrival).mul_f64(HEDGE);
+        let due = due.max(self.usual().mul_f64(HEDGE_USUAL));
+        let may = arrival.repeatable
+            && pending.attempts.len() == 1
+            && age >= due
+            && now < arrival.deadline
+            && !arrival.fingerprint.is_some_and(blamed);
+        if !may || !self.budget.affords(now, self.daemons) {
+            return;
+        }
+        let pending = pending.clone();
+        if let Some(target) = self.choose(now, &pending) {
+            self.budget.spend(now);
+            self.send(now, request, target, actions);
+        }
+    }
+}
--- a/crates/policy/src/service.rs
+++ b/crates/policy/src/service.rs
@@ -29,8 +29,14 @@
     /// Takes an event and appends the actions that follow.
     fn handle(&mut self, now: time::Time, event: event::Event, actions: &mut Vec<action::Action>);
 
-    /// This daemon's evidence, to be told to the daemons that share the service.
-    fn digest(&self, now: time::Time) -> Vec<(handle::Server, event::Digest)>;
+    /// Whether nothing waits for time to pass, so that no tick is needed until the next event.
+    fn is_idle(&self) -> bool {
+        false
+    }
+
+    /// This daemon's evidence since it was asked for last, to be told to the daemons that share
+    /// the service.
+    fn digest(&mut self, now: time::Time) -> Vec<(handle::Server, event::Digest)>;
 
     /// What is held of each server.
     fn view(&self, now: time::Time) -> Vec<View>;
--- a/crates/policy/tests/balancer/fake.rs
+++ b/crates/policy/tests/balancer/fake.rs
@@ -319,6 +319,10 @@
             organisation: handle::Organisation(1),
             weight: 1,
             repeatable,
+            attempts: 4,
+            priority: 0,
+            objective: None,
+            answer_bytes: 0,
             deadline: request.deadline,
             fingerprint: None,
         };
--- a/crates/policy/tests/balancer/fixture.rs
+++ b/crates/policy/tests/balancer/fixture.rs
@@ -118,6 +118,10 @@
             organisation: handle::Organisation(1),
             weight: 1,
             repeatable: true,
+            attempts: 4,
+            priority: 0,
+            objective: None,
+            answer_bytes: 0,
             deadline: self.now + Duration::from_secs(10),
             fingerprint: None,
         }
--- a/crates/proxy/src/answer.rs
+++ b/crates/proxy/src/answer.rs
@@ -28,8 +28,8 @@
     pub common: Arc<common::Common>,
     /// The server.
     pub server: Arc<server::Server>,
-    /// The attempt that is answered.
-    pub attempt: attempt::Attempt,
+    /// The attempt that is answered, where that is not over.
+    pub attempt: Option<attempt::Attempt>,
     /// The account of the request.
     pub account: account::Account,
     /// The request body.
@@ -56,7 +56,7 @@
             rest: reply.rest,
             status: reply.head.status.as_u16(),
             stall: stall::Stall::new(stall),
-            link: Some(reply.link),
+            link: reply.link,
             parts: Some(parts),
         };
         answer.finish_at_end();
@@ -84,13 +84,15 @@
         }
         parts.account.whole();
         let end = outcome::End::Answered(self.status);
-        parts.attempt.finish(end, false, None);
+        if let Some(attempt) = parts.attempt {
+            attempt.finish(end, false, None);
+        }
     }
 
     fn cut(&mut self, end: outcome::End) -> Fault {
         self.link = None;
-        if let Some(parts) = self.parts.take() {
-            parts.attempt.finish(end, false, None);
+        if let Some(attempt) = self.parts.take().and_then(|parts| parts.attempt) {
+            attempt.finish(end, false, None);
         }
         Fault { end }
     }
--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -17,6 +17,7 @@
 impl Attempt {
     /// An attempt that the policy asked for.
     pub fn new(service: Arc<service::Service>, attempt: handle::Attempt) -> Self {
+        service.stir();
         Self {
             service,
             attempt,
@@ -46,6 +47,7 @@
             replayable,
             retry_after,
         });
+        self.service.stir();
     }
 }
 
--- a/crates/proxy/src/border.rs
+++ b/crates/proxy/src/border.rs
@@ -38,6 +38,9 @@
     /// lifetime; `None` for an unknown service.
     fn entries(&self, service: &id::Service) -> Option<(Vec<Entry>, Duration)>;
 
+    /// There is evidence or load that other daemons have not heard of.
+    fn stir(&self) {}
+
     /// Daemons that share a service's traffic, this one included.
     fn sharers(&self, service: &id::Service) -> u32;
 }
--- a/crates/proxy/src/common.rs
+++ b/crates/proxy/src/common.rs
@@ -3,13 +3,15 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 
-use monsooncart_config::settings;
+use arc_swap::ArcSwap;
+use http::HeaderValue;
+use monsooncart_config::{routing, settings};
 use monsooncart_policy::{handle, outcome};
 use monsooncart_types::{id, map};
 use tokio::sync::watch;
 
 use crate::lock::lock;
-use crate::{border, clock, decision, metrics, pool, trace};
+use crate::{border, clock, decision, hosts, metrics, pool, sizes, trace};
 
 /// What all parts of the request path share.
 pub struct Common {
@@ -17,8 +19,8 @@
     pub name: id::Vm,
     /// Where it stands.
     pub data_centre: id::DataCentre,
-    /// Limits of the caller listener.
-    pub limits: settings::Limits,
+    /// Limits of the caller listener, as the configuration has them.
+    limits: ArcSwap<settings::Limits>,
     /// Limits of the connections to servers.
     pub pool: pool::Limits,
     /// The rest of the fleet.
@@ -29,6 +31,12 @@
     pub meter: Arc<dyn border::Meter>,
     /// Makes policies.
     pub policies: Arc<dyn border::Policies>,
+    /// Names of headers where hosts and paths name the contracts of requests.
+    pub hosts: Option<hosts::Names>,
+    /// Stands for all callers where they are not told apart.
+    pub anyone: id::Organisation,
+    /// How large answers usually are.
+    pub sizes: sizes::Sizes,
     /// The clock of the decisions.
     pub clock: clock::Clock,
     /// Counters.
@@ -65,10 +73,15 @@
     pub meter: Arc<dyn border::Meter>,
     /// Makes policies.
     pub policies: Arc<dyn border::Policies>,
+    /// Names of headers where hosts and paths name the contracts of requests.
+    pub hosts: Option<hosts::Names>,
     /// Counters.
     pub metrics: metrics::Metrics,
 }
 
+/// Name of the organisation that stands for all callers where they are not told apart.
+const ANYONE: &str = "anyone";
+
 /// Bits of a request's number that count; the bits above differ from run to run.
 const COUNTER_BITS: u32 = 28;
 
@@ -83,13 +96,16 @@
         Self {
             name: parts.name,
             data_centre: parts.data_centre,
-            limits: parts.limits,
+            limits: ArcSwap::from_pointee(parts.limits),
             pool: parts.pool,
             fleet: parts.fleet,
             claims: parts.claims,
             meter: parts.meter,
             policies: parts.policies,
+            hosts: parts.hosts,
+            anyone: ANYONE.parse().expect("it is a name"),
             metrics: parts.metrics,
+            sizes: sizes::Sizes::default(),
             clock: clock::Clock::new(),
             decisions: decision::Ring::default(),
             traces: trace::Ring::default(),
@@ -102,15 +118,35 @@
         }
     }
 
+    /// Limits of the caller listener.
+    pub fn limits(&self) -> Arc<settings::Limits> {
+        self.limits.load_full()
+    }
+
+    /// Takes the limits that a routing states.
+    pub fn limit(&self, stated: &routing::Limits) {
+        let mut limits = settings::Limits::clone(&self.limits.load());
+        limits.head = stated.head;
+        limits.head_timeout = stated.head_timeout;
+        limits.idle_timeout = stated.idle_timeout;
+        self.limits.store(Arc::new(limits));
+    }
+
+    /// Longest time for which a connection to a server may go without an acknowledgement.
+    pub fn silence(&self) -> std::time::Duration {
+        self.pool.silence.unwrap_or(self.limits().body_timeout.0)
+    }
+
     /// A number for a received request.
     pub fn request(&self) -> handle::Request {
         handle::Request(self.requests.fetch_add(1, Ordering::Relaxed))
     }
 
     /// A name for an attempt that no other attempt of any daemon bears.
-    pub fn attempt(&self) -> String {
+    pub fn attempt(&self) -> HeaderValue {
         let number = self.attempts.fetch_add(1, Ordering::Relaxed);
-        format!("{:016x}{number:016x}", self.nonce)
+        let name = format!("{:016x}{number:016x}", self.nonce);
+        HeaderValue::from_str(&name).expect("digits are a header value")
     }
 
     /// Stands for an organisation.
--- a/crates/proxy/src/config.rs
+++ b/crates/proxy/src/config.rs
@@ -6,7 +6,7 @@
 use monsooncart_config::settings;
 use monsooncart_types::id;
 
-use crate::{border, common, engine, metrics, pool};
+use crate::{border, common, engine, hosts, metrics, pool};
 
 /// Time between ticks of the policies.
 const TICK: Duration = Duration::from_millis(50);
@@ -42,6 +42,7 @@
     meter: Option<Arc<dyn border::Meter>>,
     policies: Option<Arc<dyn border::Policies>>,
     registry: Option<prometheus::Registry>,
+    hosts: Option<hosts::Names>,
 }
 
 impl Config {
@@ -59,6 +60,7 @@
             meter: None,
             policies: None,
             registry: None,
+            hosts: None,
         }
     }
 
@@ -111,6 +113,13 @@
         self
     }
 
+    /// Has hosts and paths name the contracts of requests, in place of keys.
+    #[must_use]
+    pub fn hosts(mut self, names: Option<hosts::Names>) -> Self {
+        self.hosts = names;
+        self
+    }
+
     /// Sets where counters are registered.
     #[must_use]
     pub fn registry(mut self, registry: &prometheus::Registry) -> Self {
@@ -141,6 +150,7 @@
             claims: self.claims.ok_or_else(|| missing("claims"))?,
             meter: self.meter.ok_or_else(|| missing("meter"))?,
             policies: self.policies.ok_or_else(|| missing("policies"))?,
+            hosts: self.hosts,
             metrics,
         });
         Ok(engine::Engine::new(common, self.tick))
--- a/crates/proxy/src/engine.rs
+++ b/crates/proxy/src/engine.rs
@@ -14,7 +14,7 @@
 use tokio::time::{MissedTickBehavior, interval};
 
 use crate::lock::lock;
-use crate::{common, decision, listener, router, service, trace};
+use crate::{common, decision, listener, router, service, split, trace};
 
 /// Shards of the services.
 const SHARDS: usize = 16;
@@ -36,6 +36,8 @@
     pub common: Arc<common::Common>,
     pub snapshot: ArcSwap<snapshot::Snapshot>,
     pub router: ArcSwap<router::Router>,
+    /// Divides requests between the services of a route.
+    pub splitter: split::Splitter,
     shards: Vec<Shard>,
     /// Held while a configuration is put in force.
     configuring: Mutex<()>,
@@ -85,6 +87,7 @@
             common: Arc::new(common),
             snapshot: ArcSwap::default(),
             router: ArcSwap::default(),
+            splitter: split::Splitter::default(),
             shards,
             configuring: Mutex::default(),
         });
@@ -121,6 +124,9 @@
                 }
             }
         }
+        if let Some(routing) = snapshot.routing() {
+            self.shared.common.limit(&routing.limits);
+        }
         self.shared.snapshot.store(snapshot);
         self.shared.router.store(Arc::new(router));
         log::info!(changed; "config: configuration is in force");
@@ -299,17 +305,24 @@
     }
 }
 
-/// Ticks the services of one shard whose policies are made, until the engine is gone.
+/// Ticks the services of one shard whose policies wait for time to pass, until the engine is gone.
 async fn tick_shard(
     shared: Weak<Shared>,
     mut activation: mpsc::UnboundedReceiver<Arc<service::Service>>,
     tick: Duration,
 ) {
-    let mut active = Vec::new();
+    let mut active: Vec<Arc<service::Service>> = Vec::new();
     let mut ticks = interval(tick);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut count: u64 = 0;
     loop {
+        if active.is_empty() {
+            // Nothing wakes a daemon without requests.
+            let Some(service) = activation.recv().await else {
+                return;
+            };
+            active.push(service);
+        }
         ticks.tick().await;
         count += 1;
         if shared.strong_count() == 0 {
@@ -318,8 +331,6 @@
         while let Ok(service) = activation.try_recv() {
             active.push(service);
         }
-        for service in &active {
-            service.tick(count.is_multiple_of(REAP_TICKS));
-        }
+        active.retain(|service| service.tick(count.is_multiple_of(REAP_TICKS)));
     }
 }
--- a/crates/proxy/src/exchange.rs
+++ b/crates/proxy/src/exchange.rs
@@ -16,24 +16,27 @@
 use monsooncart_policy::outcome;
 use tokio::time::{Instant, timeout_at};
 
-use crate::{attempt, common, gate, header, link, payload, server};
+use crate::{attempt, common, gate, header, hosts, link, payload, server};
 
 /// Bytes of an answer held back, so that a repeatable request can be sent again where its answer
 /// is cut short.
 const HELD_BYTES: u64 = 64 << 10;
 
+/// Largest answer that is held whole; a larger one is passed on while it comes.
+const HELD_WHOLE_BYTES: u64 = 1 << 20;
+
 /// What is sent, where and until when.
 pub struct Order {
     /// The server.
     pub server: Arc<server::Server>,
-    /// Whether only a new connection will do.
+    /// Whether only a new connection will do, or one that was at work a moment ago.
     pub fresh: bool,
     /// Head towards the server, without the headers of the attempt.
     pub head: Arc<http::request::Parts>,
     /// The request body.
     pub source: payload::Source,
-    /// Name of the attempt.
-    pub name: String,
+    /// Name of the attempt, which the server echoes.
+    pub name: HeaderValue,
     /// Latest time for the head of the answer.
     pub until: Instant,
     /// Longest time from the end of a streamed body to the head of the answer.
@@ -48,8 +51,8 @@
 
 /// An answer whose head came.
 pub struct Reply {
-    /// The connection that it comes on.
-    pub link: link::Link,
+    /// The connection that it comes on, until it is taken off.
+    pub link: Option<link::Link>,
     /// Its head.
     pub head: http::response::Parts,
     /// The beginning of its body.
@@ -132,7 +135,9 @@
         exposed: order.exposed.clone(),
         refused: false,
     };
-    let sending = link.sender.try_send_request(order.request());
+    let sending = link
+        .sender
+        .try_send_request(order.request(common.hosts.as_ref()));
     // Where this future is dropped, the exposure below is settled before the link is closed; the
     // guard makes the gate's word final first.
     let closer = Closer(&exposure.gate);
@@ -145,30 +150,56 @@
         None => return Err(outcome::End::Unsent.into()),
     };
     let (head, rest) = response.into_parts();
-    if !is_own(&head, &order.name) {
+    if !is_own(common, &head, &order.name) {
         return Err(outcome::End::Garbled.into());
     }
-    if let Some(failure) = shed(&head) {
+    if let Some(failure) = refused(common, &head) {
         exposure.refused = true;
         // A refusing server is loaded: its connection is kept where the exchange is whole.
-        if order.source.is_done() && rest.is_end_stream() {
+        if order.source.is_done() && rest.is_end_stream() && !closes(&head) {
             order.server.pool.put(link, common.clock.now());
         }
         return Err(failure);
     }
     attempt.head(head.status.as_u16());
     let mut reply = Reply {
-        link,
+        link: Some(link),
         head,
         prefix: VecDeque::new(),
         rest,
     };
-    if order.hold {
-        hold(&mut reply, common.limits.body_timeout.0, order.until).await?;
+    match (&common.hosts, order.hold) {
+        (Some(_), _) => hold_whole(&mut reply, order.until).await?,
+        (None, true) => {
+            let stall = common.limits().body_timeout.0;
+            hold(&mut reply, stall, order.until).await?;
+        }
+        (None, false) => {}
     }
     Ok(reply)
 }
 
+impl Reply {
+    /// Whether the whole body is held.
+    pub fn is_whole(&self) -> bool {
+        self.rest.is_end_stream()
+    }
+
+    /// Whether the server ends the connection after this answer.
+    pub fn closes(&self) -> bool {
+        closes(&self.head)
+    }
+}
+
+/// Whether an answer is the last one on its connection.
+fn closes(head: &http::response::Parts) -> bool {
+    let values = head.headers.get_all(names::CONNECTION).iter();
+    let mut tokens = values
+        .filter_map(|v| v.to_str().ok())
+        .flat_map(|v| v.split(','));
+    tokens.any(|token| token.trim().eq_ignore_ascii_case("close"))
+}
+
 struct Closer<'a>(&'a gate::Gate);
 
 impl Drop for Closer<'_> {
@@ -179,10 +210,17 @@
 
 /// A connection that waits for work, where one will do.
 fn pooled(common: &common::Common, order: &Order) -> Option<link::Link> {
-    if order.fresh || order.until <= Instant::now() {
+    if order.until <= Instant::now() {
         return None;
     }
-    order.server.pool.take(common.clock.now())
+    if order.fresh {
+        let proved = common.pool.proved.filter(|proved| !proved.is_zero())?;
+        return order.server.pool.take(common.clock.now(), proved);
+    }
+    order
+        .server
+        .pool
+        .take(common.clock.now(), common.pool.idle_timeout)
 }
 
 async fn connect(common: &common::Common, order: &Order) -> Result<link::Link, Failure> {
@@ -192,7 +230,7 @@
         return Err(outcome::End::Cancelled.into());
     }
     let limit = Instant::now() + common.pool.connect_timeout;
-    let stall = common.limits.body_timeout.0;
+    let stall = common.silence();
     let opening = link::Link::open(order.server.spec.address, stall, now);
     common.metrics.opened.inc();
     match timeout_at(limit.min(order.until), opening).await {
@@ -207,18 +245,27 @@
 }
 
 impl Order {
-    fn request(&self) -> http::Request<payload::Payload> {
+    fn request(&self, hosts: Option<&hosts::Names>) -> http::Request<payload::Payload> {
         let mut request = http::Request::new(self.source.payload());
         *request.method_mut() = self.head.method.clone();
         *request.uri_mut() = self.head.uri.clone();
         let headers = request.headers_mut();
         headers.clone_from(&self.head.headers);
-        if let Ok(name) = HeaderValue::from_str(&self.name) {
-            headers.insert(header::ATTEMPT, name);
-        }
         let left = self.until.saturating_duration_since(Instant::now());
         let left = u64::try_from(left.as_millis()).unwrap_or(u64::MAX);
-        headers.insert(header::DEADLINE, left.into());
+        match hosts {
+            // The request goes on under the name that its caller gave it.
+            Some(hosts) => {
+                headers.insert(&hosts.deadline, left.into());
+                if let Ok(server) = HeaderValue::from_str(self.server.spec.name.as_str()) {
+                    headers.insert(&hosts.server, server);
+                }
+            }
+            None => {
+                headers.insert(header::ATTEMPT, self.name.clone());
+                headers.insert(header::DEADLINE, left.into());
+            }
+        }
         request
     }
 
@@ -287,12 +334,39 @@
 }
 
 /// Whether an answer is not known to be another attempt's.
-fn is_own(head: &http::response::Parts, name: &str) -> bool {
-    let mut echoes = head.headers.get_all(header::ATTEMPT).iter();
-    head.status.as_u16() >= 200 && echoes.all(|echo| echo == name)
+fn is_own(common: &common::Common, head: &http::response::Parts, name: &HeaderValue) -> bool {
+    let echo = match &common.hosts {
+        Some(hosts) => &hosts.request,
+        None => &header::ATTEMPT,
+    };
+    let mut echoes = head.headers.get_all(echo).iter();
+    // Servers behind hosts echo the name always; an answer without it may be another request's.
+    let named = common.hosts.is_none() || head.headers.contains_key(echo);
+    head.status.as_u16() >= 200 && named && echoes.all(|echo| echo == name)
 }
 
 /// The refusal that a server's answer stands for.
+fn refused(common: &common::Common, head: &http::response::Parts) -> Option<Failure> {
+    let Some(hosts) = &common.hosts else {
+        return shed(head);
+    };
+    if head.status == http::StatusCode::MISDIRECTED_REQUEST {
+        return Some(outcome::End::Misdirected.into());
+    }
+    let busy = matches!(
+        head.status,
+        http::StatusCode::SERVICE_UNAVAILABLE | http::StatusCode::TOO_MANY_REQUESTS
+    );
+    if !busy || !head.headers.contains_key(&hosts.not_run) {
+        return None;
+    }
+    Some(Failure {
+        end: outcome::End::Shed { leaving: false },
+        retry_after: header::number(&head.headers, &names::RETRY_AFTER).map(Duration::from_secs),
+    })
+}
+
+/// The refusal that a server's answer stands for where servers are told the fleet's own names.
 fn shed(head: &http::response::Parts) -> Option<Failure> {
     let not_run = <&'static str>::from(Outcome::NotRun);
     let says = |value: &HeaderValue| value == not_run;
@@ -327,6 +401,25 @@
     }
 }
 
+/// Reads a body to its end, up to a bound, so that an answer that is cut short or late is known
+/// before the caller saw a byte of it.
+async fn hold_whole(reply: &mut Reply, until: Instant) -> Result<(), Failure> {
+    let mut held = 0;
+    while held < HELD_WHOLE_BYTES && !reply.rest.is_end_stream() {
+        let frame = match timeout_at(until, reply.rest.frame()).await {
+            Ok(None) => return Ok(()),
+            Ok(Some(Ok(frame))) => frame,
+            Ok(Some(Err(error))) => return Err(end(&error).into()),
+            Err(_) => return Err(outcome::End::Timeout.into()),
+        };
+        if let Ok(data) = frame.into_data() {
+            held += data.len() as u64;
+            reply.prefix.push_back(data);
+        }
+    }
+    Ok(())
+}
+
 /// Reads the beginning of a body of known length, or the whole of a small one.
 ///
 /// It is not held beyond the time for its head.
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod config;
 pub mod decision;
 pub mod engine;
+pub mod hosts;
 pub mod pool;
 pub mod trace;
 
@@ -43,5 +44,7 @@
 mod router;
 mod server;
 mod service;
+mod sizes;
 mod socket;
+mod split;
 mod stall;
--- a/crates/proxy/src/listener.rs
+++ b/crates/proxy/src/listener.rs
@@ -63,7 +63,7 @@
     listener: TcpListener,
     stop: impl Future<Output = ()>,
 ) {
-    let limit = usize::try_from(shared.common.limits.connections).unwrap_or(usize::MAX);
+    let limit = usize::try_from(shared.common.limits().connections).unwrap_or(usize::MAX);
     let permits = Arc::new(Semaphore::new(limit.min(Semaphore::MAX_PERMITS)));
     let tracker = TaskTracker::new();
     let mut stop = pin!(stop);
@@ -177,7 +177,7 @@
 async fn connection(shared: Arc<engine::Shared>, stream: TcpStream, permit: OwnedSemaphorePermit) {
     let common = shared.common.clone();
     common.metrics.connections.inc();
-    let limits = &common.limits;
+    let limits = common.limits();
     if let Err(error) = socket::tune(&stream, limits.body_timeout.0) {
         log::debug!(error:%; "proxy: connection has no keepalive");
     }
@@ -197,7 +197,7 @@
     let mut draining = common.draining.subscribe();
     let mut watch = Watch {
         activity: activity.clone(),
-        limits,
+        limits: &limits,
         told: false,
     };
     loop {
--- a/crates/proxy/src/metrics.rs
+++ b/crates/proxy/src/metrics.rs
@@ -110,8 +110,9 @@
     pub fn attempt(&self, service: &id::Service, end: outcome::End) {
         let end = match end {
             outcome::End::Answered(status) if status < 500 => "answered",
-            outcome::End::Answered(_) => "error",
+            outcome::End::Answered(_) | outcome::End::Failed(_) => "error",
             outcome::End::Shed { .. } => "shed",
+            outcome::End::Misdirected => "misdirected",
             outcome::End::Unsent => "unsent",
             outcome::End::Broken => "broken",
             outcome::End::Timeout => "timeout",
--- a/crates/proxy/src/pass.rs
+++ b/crates/proxy/src/pass.rs
@@ -13,7 +13,7 @@
 
 use crate::{
     account, activity, answer, attempt, body, common, decision, exchange, header, payload, problem,
-    server, service,
+    server, service, sizes,
 };
 
 /// What an attempt came to.
@@ -21,9 +21,19 @@
     id: handle::Attempt,
     server: Arc<server::Server>,
     started_millis: u64,
-    result: Result<(exchange::Reply, attempt::Attempt), outcome::End>,
+    result: Result<(exchange::Reply, attempt::Attempt), Failed>,
 }
 
+/// An attempt that gave no answer to pass on at once.
+struct Failed {
+    end: outcome::End,
+    /// A server's error that is passed on where nothing better comes.
+    error: Option<Box<exchange::Reply>>,
+}
+
+/// Lowest status of a server's error.
+const ERROR: u16 = 500;
+
 type Attempts = FuturesUnordered<Abortable<BoxFuture<'static, Done>>>;
 
 /// A request to pass on.
@@ -38,6 +48,10 @@
     pub head: Arc<http::request::Parts>,
     /// Its body.
     pub source: payload::Source,
+    /// Name that its caller gave it.
+    pub name: Option<HeaderValue>,
+    /// Names its route for the sizes of answers.
+    pub sizes: Option<sizes::Key>,
     /// Whether it may be sent more than once.
     pub repeatable: bool,
     /// Latest time for the head of its answer.
@@ -52,7 +66,11 @@
 
 impl Pass {
     /// Passes the request on, and gives its answer.
+    ///
+    /// A server's error on a request that may run again is kept back while the policy tries
+    /// another server, and passed on where that comes to nothing.
     pub async fn run(mut self, arrival: event::Arrival) -> http::Response<body::Body> {
+        let mut error = None;
         let queued = Queued::new(self.common.clone());
         let mut waiting = self.service.arrive(arrival);
         let mut attempts = Attempts::new();
@@ -64,7 +82,7 @@
                     let Ok(done) = done else { continue };
                     waiting.ended();
                     handles.remove(&done.id);
-                    if let Some(answer) = self.ended(done) {
+                    if let Some(answer) = self.ended(done, &mut error) {
                         waiting.settle();
                         drop(attempts);
                         return self.answer(answer);
@@ -101,7 +119,10 @@
                     }
                     service::Command::Refuse(refusal) => {
                         drop(attempts);
-                        return self.refuse(refusal);
+                        return match error {
+                            Some(error) => self.answer(error),
+                            None => self.refuse(refusal),
+                        };
                     }
                 },
                 () = sleep_until(self.until), if attempts.is_empty() => {
@@ -147,7 +168,7 @@
             fresh,
             head: self.head.clone(),
             source: self.source.clone(),
-            name: self.common.attempt(),
+            name: self.name.clone().unwrap_or_else(|| self.common.attempt()),
             until: self.until,
             timeout: self.timeout,
             hold: self.repeatable && self.source.is_whole(),
@@ -157,6 +178,7 @@
         let common = self.common.clone();
         let service = self.service.clone();
         let reporter = attempt::Attempt::new(service.clone(), id);
+        let retries_errors = self.common.hosts.is_some() && self.repeatable;
         Box::pin(async move {
             let result = exchange::run(&common, &order, &reporter).await;
             let result = match result {
@@ -164,7 +186,15 @@
                     if header::is_true(&reply.head.headers, &header::LEAVING) {
                         service.said_leaving(&server);
                     }
-                    Ok((reply, reporter))
+                    let status = reply.head.status.as_u16();
+                    if retries_errors && status >= ERROR && reply.is_whole() {
+                        let end = outcome::End::Failed(status);
+                        reporter.finish(end, order.is_replayable(), None);
+                        let error = Some(Box::new(reply));
+                        Err(Failed { end, error })
+                    } else {
+                        Ok((reply, reporter))
+                    }
                 }
                 Err(failure) => {
                     if failure.end == (outcome::End::Shed { leaving: true }) {
@@ -172,7 +202,8 @@
                     }
                     let replayable = order.is_replayable();
                     reporter.finish(failure.end, replayable, failure.retry_after);
-                    Err(failure.end)
+                    let end = failure.end;
+                    Err(Failed { end, error: None })
                 }
             };
             Done {
@@ -185,20 +216,27 @@
     }
 
     /// Notes how an attempt ended, and gives its answer where there is one.
-    fn ended(&mut self, done: Done) -> Option<Answered> {
+    fn ended(&mut self, done: Done, error: &mut Option<Answered>) -> Option<Answered> {
         let end = match &done.result {
             Ok((reply, _)) => outcome::End::Answered(reply.head.status.as_u16()),
-            Err(end) => *end,
+            Err(failed) => failed.end,
         };
         let name = &done.server.spec.name;
         self.account.ended(name, done.started_millis, end);
         match done.result {
             Ok((reply, attempt)) => Some(Answered {
                 reply,
-                attempt,
+                attempt: Some(attempt),
                 server: done.server,
             }),
-            Err(end) => {
+            Err(failed) => {
+                if let Some(reply) = failed.error {
+                    *error = Some(Answered {
+                        reply: *reply,
+                        attempt: None,
+                        server: done.server.clone(),
+                    });
+                }
                 log::debug!(request = self.request.0, service:% = self.service.name, server:% = name, end:%; "proxy: attempt ended");
                 None
             }
@@ -207,18 +245,37 @@
 
     fn answer(mut self, answered: Answered) -> http::Response<body::Body> {
         let Answered {
-            reply,
-            attempt,
+            mut reply,
+            mut attempt,
             server,
         } = answered;
         let status = reply.head.status;
+        if reply.is_whole()
+            && let Some(attempt) = attempt.take()
+        {
+            // The server is done, however long the caller takes to read.
+            attempt.finish(outcome::End::Answered(status.as_u16()), false, None);
+        }
+        if reply.is_whole()
+            && let Some(key) = &self.sizes
+        {
+            let bytes = reply.prefix.iter().map(|b| b.len() as u64).sum();
+            self.common.sizes.take(key, bytes);
+        }
+        if reply.is_whole() && !reply.closes() && self.source.is_done() {
+            let link = reply.link.take();
+            link.into_iter()
+                .for_each(|link| server.pool.put(link, self.common.clock.now()));
+        }
         let mut headers = reply.head.headers.clone();
         if headers.contains_key(names::TRANSFER_ENCODING) {
             // The transfer coding has framed the body: a length beside it is not to be trusted.
             headers.remove(names::CONTENT_LENGTH);
         }
         header::strip_hop_by_hop(&mut headers);
-        header::strip_own(&mut headers);
+        if self.common.hosts.is_none() {
+            header::strip_own(&mut headers);
+        }
         if let Ok(name) = HeaderValue::from_str(server.spec.name.as_str()) {
             headers.insert(header::SERVER, name);
         }
@@ -231,7 +288,7 @@
             source: self.source,
             _busy: self.busy,
         };
-        let stall = self.common.limits.body_timeout.0;
+        let stall = self.common.limits().body_timeout.0;
         let answer = answer::Answer::new(reply, parts, stall);
         let mut response = http::Response::new(body::Body::Passed(Box::new(answer)));
         *response.status_mut() = status;
@@ -243,7 +300,10 @@
         if self.account.run() == outcome::Run::Unknown {
             refusal.run = outcome::Run::Unknown;
         }
-        let problem = problem::Problem::refusal(refusal);
+        let mut problem = problem::Problem::refusal(refusal);
+        if self.common.hosts.is_some() && refusal.run == outcome::Run::Unknown {
+            problem = problem.without_promise();
+        }
         self.account
             .refused(problem.status.as_u16(), Some(refusal.reason));
         self.common.decisions.push(
@@ -285,7 +345,7 @@
 /// An answer to pass on.
 struct Answered {
     reply: exchange::Reply,
-    attempt: attempt::Attempt,
+    attempt: Option<attempt::Attempt>,
     server: Arc<server::Server>,
 }
 
--- a/crates/proxy/src/pool.rs
+++ b/crates/proxy/src/pool.rs
@@ -16,6 +16,11 @@
     pub idle: usize,
     /// Longest time that a connection is kept without work.
     pub idle_timeout: Duration,
+    /// Idle time up to which a connection counts as just proved; `None` where only new ones do.
+    pub proved: Option<Duration>,
+    /// Longest time for which a connection may go without an acknowledgement; that of bodies
+    /// without progress where absent.
+    pub silence: Option<Duration>,
     /// Longest time to open a connection.
     pub connect_timeout: Duration,
     /// Longest time for a probe of a server's health endpoint.
@@ -27,6 +32,8 @@
         Self {
             idle: 8,
             idle_timeout: Duration::from_secs(30),
+            proved: None,
+            silence: None,
             connect_timeout: Duration::from_secs(1),
             probe_timeout: Duration::from_secs(1),
         }
@@ -57,11 +64,12 @@
         }
     }
 
-    /// Takes the connection that was used last.
-    pub fn take(&self, now: time::Time) -> Option<link::Link> {
+    /// Takes the connection that was used last, where that was within `recent`.
+    pub fn take(&self, now: time::Time, recent: Duration) -> Option<link::Link> {
         let mut idle = lock(&self.idle);
         idle.retain(|i| self.keeps(i, now));
-        let at = idle.iter().rposition(|i| i.link.is_ready())?;
+        let ready = |i: &Idle| i.link.is_ready() && now.since(i.since) <= recent;
+        let at = idle.iter().rposition(ready)?;
         Some(idle.remove(at).link)
     }
 
--- a/crates/proxy/src/problem.rs
+++ b/crates/proxy/src/problem.rs
@@ -8,6 +8,9 @@
 
 use crate::{body, exchange, header};
 
+/// When to come back to a daemon that holds no configuration yet.
+const UNCONFIGURED: Duration = Duration::from_millis(500);
+
 /// An answer that the fleet makes itself.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Problem {
@@ -61,6 +64,13 @@
         Self::not_run(StatusCode::NOT_FOUND, "unknown-path", detail)
     }
 
+    /// The answer while no configuration is held that says what to do with a request.
+    pub fn unconfigured() -> Self {
+        let status = StatusCode::SERVICE_UNAVAILABLE;
+        let problem = Self::not_run(status, "unconfigured", "daemon holds no configuration yet");
+        problem.retry_after(UNCONFIGURED)
+    }
+
     /// The answer to a method that a path does not take.
     pub fn wrong_method(allow: &str) -> Self {
         let status = StatusCode::METHOD_NOT_ALLOWED;
@@ -121,6 +131,21 @@
         }
     }
 
+    /// The same under a status that says nothing of whether the work was run.
+    #[must_use]
+    pub fn without_promise(mut self) -> Self {
+        let promises = [
+            StatusCode::REQUEST_TIMEOUT,
+            StatusCode::MISDIRECTED_REQUEST,
+            StatusCode::TOO_MANY_REQUESTS,
+            StatusCode::SERVICE_UNAVAILABLE,
+        ];
+        if promises.contains(&self.status) {
+            self.status = StatusCode::BAD_GATEWAY;
+        }
+        self
+    }
+
     /// The answer on the wire.
     pub fn response(&self, request: &str) -> http::Response<body::Body> {
         // Rounded up, so that coming back at the stated time is never too early.
--- a/crates/proxy/src/request.rs
+++ b/crates/proxy/src/request.rs
@@ -88,6 +88,10 @@
         busy: &mut Option<activity::Busy>,
     ) -> Result<Answer, problem::Problem> {
         contract::check_head(self.shared, &request)?;
+        if let Some(names) = &self.shared.common.hosts {
+            let contract = contract::find_by_host(self.shared, names, &request)?;
+            return self.pass(request, contract, None, busy).await;
+        }
         let path = request.uri().path();
         if path == ENTRIES {
             return entries::answer(self.shared, &request);
@@ -100,7 +104,7 @@
             return Err(problem::Problem::unknown_path(path));
         }
         let contract = contract::find(self.shared, &request)?;
-        let ticket = contract::ticket(&request, contract.target.route())?;
+        let ticket = contract::ticket(&request, contract.ticket)?;
         self.pass(request, contract, ticket, busy).await
     }
 
@@ -112,21 +116,20 @@
         busy: &mut Option<activity::Busy>,
     ) -> Result<Answer, problem::Problem> {
         let shared = self.shared;
-        let route = contract.target.route().clone();
-        let name = contract.target.service.name.clone();
+        let name = contract.service.clone();
         let service = shared
             .service(&name)
-            .ok_or_else(|| problem::Problem::unknown_path(""))?;
-        let organisation = &contract.organisation;
+            .ok_or_else(problem::Problem::unconfigured)?;
         let (head, incoming) = request.into_parts();
         let mut account = account::Account::new(
             shared.common.clone(),
             self.id,
-            organisation.name.clone(),
+            contract.organisation.clone(),
             name.clone(),
         );
-        let stall = shared.common.limits.body_timeout.0;
-        let source = match source::take(incoming, &route, contract.until, stall).await {
+        let stall = shared.common.limits().body_timeout.0;
+        let limit = contract.body_limit;
+        let source = match source::take(incoming, limit, contract.until, stall).await {
             Ok(source) => source,
             Err(mut problem) => {
                 if ticket.is_some() {
@@ -146,9 +149,16 @@
         }
         let arrival = event::Arrival {
             request: self.id,
-            organisation: shared.common.organisation(&organisation.name),
-            weight: organisation.weight,
-            repeatable: route.repeatable,
+            organisation: shared.common.organisation(&contract.organisation),
+            weight: contract.weight,
+            repeatable: contract.repeatable,
+            attempts: contract.attempts,
+            priority: contract.priority,
+            objective: contract.objective,
+            answer_bytes: contract
+                .sizes
+                .as_ref()
+                .map_or(0, |key| shared.common.sizes.usual(key)),
             deadline: self.deadline(contract.until),
             fingerprint: onward::fingerprint(&head, &source),
         };
@@ -159,9 +169,16 @@
             common: shared.common.clone(),
             service,
             request: self.id,
-            head: Arc::new(onward::head(head, &organisation.name, ticket)),
+            head: Arc::new(onward::head(
+                &shared.common,
+                head,
+                &contract.organisation,
+                ticket,
+            )),
             source,
-            repeatable: route.repeatable,
+            name: contract.name,
+            sizes: contract.sizes,
+            repeatable: contract.repeatable,
             until: contract.until,
             timeout: contract.timeout,
             account,
--- a/crates/proxy/src/request/contract.rs
+++ b/crates/proxy/src/request/contract.rs
@@ -3,26 +3,51 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use http::{HeaderValue, Method, StatusCode, header as names};
+use http::{HeaderValue, Method, StatusCode, header as standard};
 use hyper::body::Incoming;
 use monsooncart_config::{organisation, route};
 use monsooncart_policy::claims::ticket;
+use monsooncart_types::{id, size};
 use tokio::time::Instant;
 
-use crate::{engine, header, problem, router};
+use crate::{engine, header, hosts, problem, router, sizes};
 
 /// The contract that a request has.
 pub struct Contract {
-    /// Who sends it.
-    pub organisation: Arc<organisation::Organisation>,
-    /// The route.
-    pub target: router::Target,
+    /// On whose behalf it comes.
+    pub organisation: id::Organisation,
+    /// Weight of the organisation's share of a loaded service.
+    pub weight: u32,
+    /// The service that it goes to.
+    pub service: id::Service,
+    /// Whether it may run more than once.
+    pub repeatable: bool,
+    /// Whether a ticket is wanted.
+    pub ticket: route::Ticket,
+    /// Largest body; unbounded where absent.
+    pub body_limit: Option<size::Size>,
+    /// Servers that it may be sent to, at most.
+    pub attempts: u32,
+    /// Rank under load; 0 is the highest.
+    pub priority: u32,
+    /// Time within which an answer is worth the most, where the route states it.
+    pub objective: Option<Duration>,
+    /// Names the route for the sizes of its answers.
+    pub sizes: Option<sizes::Key>,
+    /// Name that the caller gave the request.
+    pub name: Option<HeaderValue>,
     /// Longest time to the head of its answer.
     pub timeout: Duration,
     /// When that time ends.
     pub until: Instant,
 }
 
+/// Servers that one request is sent to, at most, where its route does not say.
+const ATTEMPTS: u32 = 4;
+
+/// Longest time that a caller is kept waiting where neither its route nor it says.
+const TIMEOUT: Duration = Duration::from_secs(60);
+
 /// Whether a head is one that the request path takes.
 ///
 /// # Errors
@@ -41,7 +66,7 @@
         name.as_str().len() + value.len() + 4
     };
     let head = uri + request.headers().iter().map(line).sum::<usize>();
-    let limit = shared.common.limits.head.0;
+    let limit = shared.common.limits().head.0;
     if head as u64 > limit {
         let detail = format!("request head of {head} bytes is larger than {limit}");
         let status = StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE;
@@ -51,7 +76,8 @@
     if request.method() == Method::CONNECT || !path.starts_with('/') {
         return Err(problem::Problem::malformed("request target is not a path"));
     }
-    if router::is_ambiguous(path) {
+    // Prefixes are compared byte by byte, as the servers behind them do.
+    if shared.common.hosts.is_none() && router::is_ambiguous(path) {
         return Err(problem::Problem::malformed(
             "request path has . or .. segments",
         ));
@@ -68,7 +94,7 @@
     shared: &engine::Shared,
     request: &http::Request<Incoming>,
 ) -> Result<Arc<organisation::Organisation>, problem::Problem> {
-    let value = request.headers().get(names::AUTHORIZATION);
+    let value = request.headers().get(standard::AUTHORIZATION);
     let key = value.and_then(|value| bearer(value.as_bytes()));
     let digest = key.map(organisation::Digest::of);
     let snapshot = shared.snapshot.load();
@@ -119,9 +145,64 @@
         })?;
         timeout = timeout.min(Duration::from_millis(millis));
     }
+    let route = target.route();
+    Ok(Contract {
+        organisation: organisation.name.clone(),
+        weight: organisation.weight,
+        service: target.service.name.clone(),
+        repeatable: route.repeatable,
+        ticket: route.ticket,
+        body_limit: route.body_limit,
+        attempts: ATTEMPTS,
+        priority: 0,
+        objective: None,
+        sizes: None,
+        name: None,
+        timeout,
+        until: Instant::now() + timeout,
+    })
+}
+
+/// The contract of a request that its host and path name.
+///
+/// # Errors
+///
+/// The answer where it has none, or where no routing is held yet.
+pub fn find_by_host(
+    shared: &engine::Shared,
+    names: &hosts::Names,
+    request: &http::Request<Incoming>,
+) -> Result<Contract, problem::Problem> {
+    let snapshot = shared.snapshot.load();
+    let Some(routing) = snapshot.routing() else {
+        return Err(problem::Problem::unconfigured());
+    };
+    let path = request.uri().path();
+    let authority = request.uri().authority().map(|a| a.as_str().as_bytes());
+    let host = request
+        .headers()
+        .get(standard::HOST)
+        .map(HeaderValue::as_bytes);
+    let host = authority.or(host).unwrap_or_default();
+    let host = std::str::from_utf8(host).unwrap_or_default();
+    let unknown = || problem::Problem::unknown_path(path);
+    let route = snapshot.route(host, path).ok_or_else(unknown)?;
+    let service = shared.splitter.next(route).ok_or_else(unknown)?;
+    let left = header::number(request.headers(), &names.deadline).map(Duration::from_millis);
+    let timeout = route.timeout.map(|timeout| timeout.0);
+    let timeout = timeout.into_iter().chain(left).min().unwrap_or(TIMEOUT);
     Ok(Contract {
-        organisation,
-        target,
+        organisation: shared.common.anyone.clone(),
+        weight: 1,
+        service,
+        repeatable: route.repeatable,
+        ticket: route::Ticket::None,
+        body_limit: Some(routing.limits.body),
+        attempts: route.attempts.max(1),
+        priority: route.priority,
+        objective: route.objective.map(|objective| objective.0),
+        sizes: Some(sizes::Key::new(route)),
+        name: request.headers().get(&names.request).cloned(),
         timeout,
         until: Instant::now() + timeout,
     })
@@ -134,9 +215,9 @@
 /// The answer where it is missing or malformed.
 pub fn ticket(
     request: &http::Request<Incoming>,
-    route: &route::Route,
+    wanted: route::Ticket,
 ) -> Result<Option<ticket::Ticket>, problem::Problem> {
-    if route.ticket == route::Ticket::None {
+    if wanted == route::Ticket::None {
         return Ok(None);
     }
     let mut values = request.headers().get_all(header::TICKET).iter();
@@ -147,7 +228,7 @@
         ));
     }
     let Some(value) = first else {
-        if route.ticket == route::Ticket::Required {
+        if wanted == route::Ticket::Required {
             return Err(problem::Problem::not_run(
                 StatusCode::PRECONDITION_REQUIRED,
                 "ticket-required",
--- a/crates/proxy/src/request/onward.rs
+++ b/crates/proxy/src/request/onward.rs
@@ -6,10 +6,11 @@
 use monsooncart_types::id;
 use sha2::Digest as _;
 
-use crate::{header, payload};
+use crate::{common, header, payload};
 
 /// The head towards a server.
 pub fn head(
+    common: &common::Common,
     mut head: http::request::Parts,
     organisation: &id::Organisation,
     ticket: Option<ticket::Ticket>,
@@ -26,10 +27,13 @@
     head.version = http::Version::HTTP_11;
     let headers = &mut head.headers;
     header::strip_hop_by_hop(headers);
+    headers.remove(names::CONTENT_LENGTH);
+    if common.hosts.is_some() {
+        return head;
+    }
     header::strip_own(headers);
     headers.remove(names::AUTHORIZATION);
     join_cookies(headers);
-    headers.remove(names::CONTENT_LENGTH);
     if let Ok(name) = HeaderValue::from_str(organisation.as_str()) {
         headers.insert(header::ORGANISATION, name);
     }
--- a/crates/proxy/src/request/source.rs
+++ b/crates/proxy/src/request/source.rs
@@ -8,7 +8,7 @@
 use http_body::Body as _;
 use http_body_util::BodyExt as _;
 use hyper::body::Incoming;
-use monsooncart_config::route;
+use monsooncart_types::size;
 use tokio::time::{Instant, timeout_at};
 
 use crate::{payload, problem};
@@ -23,11 +23,11 @@
 /// The answer where a body is too large, cut short or does not come.
 pub async fn take(
     mut incoming: Incoming,
-    route: &route::Route,
+    limit: Option<size::Size>,
     until: Instant,
     stall: Duration,
 ) -> Result<payload::Source, problem::Problem> {
-    let limit = route.body_limit.map_or(u64::MAX, |limit| limit.0);
+    let limit = limit.map_or(u64::MAX, |limit| limit.0);
     let size = incoming.size_hint().exact();
     if size.is_some_and(|size| size > limit) {
         return Err(problem::Problem::too_large(limit));
--- a/crates/proxy/src/service.rs
+++ b/crates/proxy/src/service.rs
@@ -66,6 +66,8 @@
     /// Told once the policy is made.
     activated: mpsc::UnboundedSender<Arc<Self>>,
     removed: AtomicBool,
+    /// Whether it gets ticks.
+    ticking: AtomicBool,
 }
 
 impl Service {
@@ -88,6 +90,7 @@
             state: Mutex::default(),
             activated,
             removed: AtomicBool::new(false),
+            ticking: AtomicBool::new(false),
         };
         service.take_spec(spec);
         service
@@ -140,6 +143,8 @@
             slots: s.spec.slots,
             near: s.spec.data_centre == self.common.data_centre,
             leaving: s.spec.leaving,
+            cold: s.spec.cold.0,
+            started_millis: s.spec.started_millis,
         };
         let mut servers: Vec<_> = current.servers.values().map(server).collect();
         servers.sort_by_key(|s| s.handle);
@@ -194,8 +199,8 @@
 
     /// This daemon's evidence, by server name.
     pub fn digests(&self) -> Vec<(id::Server, event::Digest)> {
-        let state = lock(&self.state);
-        let Some(state) = &*state else {
+        let mut state = lock(&self.state);
+        let Some(state) = &mut *state else {
             return Vec::new();
         };
         let digests = state.policy.digest(self.common.clock.now());
@@ -214,8 +219,6 @@
 
     fn state<'a>(self: &Arc<Self>, slot: &'a mut Option<State>) -> &'a mut State {
         slot.get_or_insert_with(|| {
-            // Without a receiver the engine is gone, and with it the ticks.
-            let _ = self.activated.send(self.clone());
             let mut policy = self.common.policies.policy(&self.name);
             let inventory = self.inventory();
             let sharers = inventory.daemons;
@@ -267,6 +270,10 @@
                 }
                 state.actions = actions;
             }
+            if !state.policy.is_idle() && !self.ticking.swap(true, Ordering::AcqRel) {
+                // Without a receiver the engine is gone, and with it the ticks.
+                let _ = self.activated.send(self.clone());
+            }
         }
         for effect in effects {
             self.perform(effect);
@@ -415,13 +422,19 @@
         self.common.fleet.leaving(&self.name, name);
     }
 
+    /// There is evidence or load that other daemons have not heard of.
+    pub fn stir(&self) {
+        self.common.fleet.stir();
+    }
+
     /// Counts an attempt that ended.
     pub fn attempt_ended(&self, end: outcome::End) {
         self.common.attempt_ended(&self.name, end);
     }
 
-    /// Tells the policy that time passed, and closes connections that waited too long.
-    pub fn tick(self: &Arc<Self>, reap: bool) {
+    /// Tells the policy that time passed, and closes connections that waited too long; whether
+    /// further ticks are wanted.
+    pub fn tick(self: &Arc<Self>, reap: bool) -> bool {
         self.handle(event::Event::Tick);
         if reap {
             let now = self.common.clock.now();
@@ -429,6 +442,10 @@
                 server.pool.reap(now);
             }
         }
+        let state = lock(&self.state);
+        let idle = state.as_ref().is_some_and(|state| state.policy.is_idle());
+        self.ticking.store(!idle, Ordering::Release);
+        !idle
     }
 }
 
--- a/crates/platform/src/client.rs
+++ b/crates/store/src/client.rs
@@ -5,7 +5,7 @@
 //! read, has no effect. No call is repeated here except one that hyper hands back as never sent.
 
 use std::net;
-use std::sync::{Mutex, PoisonError};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -14,13 +14,29 @@
 use hyper_util::rt;
 use tokio::sync::Semaphore;
 
-use crate::{counter, error, object, protocol, store, vms};
-
-/// Longest time to open a connection.
-const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
+use crate::{counter, dialect, error, object, protocol, store, vms};
+
+/// Times after which calls are given up.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Timeouts {
+    /// Longest time to open a connection.
+    pub connect: Duration,
+    /// Longest time for a call, beyond the wait of a watch.
+    pub call: Duration,
+    /// Longest time for which a connection may go without an acknowledgement, and quiet time
+    /// before the kernel probes it.
+    pub silence: Duration,
+}
 
-/// Longest time for a call, beyond the wait of a watch.
-const CALL_TIMEOUT: Duration = Duration::from_secs(5);
+impl Default for Timeouts {
+    fn default() -> Self {
+        Self {
+            connect: Duration::from_secs(2),
+            call: Duration::from_secs(5),
+            silence: Duration::from_secs(5),
+        }
+    }
+}
 
 /// Idle connections kept.
 const MAX_IDLE: usize = 4;
@@ -50,18 +66,33 @@
 pub struct Client {
     address: net::SocketAddr,
     peer: String,
+    dialect: Arc<dyn dialect::Dialect>,
+    timeouts: Timeouts,
     idle: Mutex<Vec<Connection>>,
     calls: Semaphore,
     counter: counter::Counter,
 }
 
 impl Client {
-    /// A client of the service at `address`; connects when first called.
+    /// A client of the service at `address`, in the project's own dialect; connects when first
+    /// called.
     #[must_use]
     pub fn new(address: net::SocketAddr) -> Self {
+        Self::with(address, Arc::new(protocol::Own), Timeouts::default())
+    }
+
+    /// A client of the service at `address`; connects when first called.
+    #[must_use]
+    pub fn with(
+        address: net::SocketAddr,
+        dialect: Arc<dyn dialect::Dialect>,
+        timeouts: Timeouts,
+    ) -> Self {
         Self {
             address,
             peer: address.to_string(),
+            dialect,
+            timeouts,
             idle: Mutex::default(),
             calls: Semaphore::new(MAX_CALLS),
             counter: counter::Counter::default(),
@@ -108,27 +139,12 @@
         }
     }
 
-    fn request(
-        &self,
-        step: error::Step,
-        method: http::Method,
-        target: &str,
-        condition: object::Condition,
-        body: Bytes,
-    ) -> Result<Request, error::Error> {
-        let mut request = http::Request::builder()
-            .method(method)
-            .uri(target)
-            .header(http::header::HOST, &self.peer);
-        match condition {
-            object::Condition::Always => {}
-            object::Condition::Absent => request = request.header(protocol::IF_ABSENT, "true"),
-            object::Condition::At(version) => {
-                request = request.header(protocol::IF_VERSION, version.0);
-            }
-        }
-        let request = request.body(Full::new(body));
-        request.map_err(|error| self.not_done(step, error.to_string()))
+    fn request(&self, call: &dialect::Call<'_>) -> Result<Request, error::Error> {
+        let mut request = self.dialect.request(call);
+        let host = http::HeaderValue::from_str(&self.peer);
+        let host = host.map_err(|error| self.not_done(call.step(), error.to_string()))?;
+        request.headers_mut().insert(http::header::HOST, host);
+        Ok(request.map(Full::new))
     }
 
     async fn connect(&self) -> Result<Connection, Failure> {
@@ -136,12 +152,12 @@
         let open = async {
             let stream = tokio::net::TcpStream::connect(self.address).await;
             let stream = stream.map_err(|error| unsent(format!("connect: {error}")))?;
-            // Without it an answer waits for a delayed acknowledgement.
-            let _ = stream.set_nodelay(true);
+            let tuned = tune(&stream, self.timeouts.silence);
+            tuned.map_err(|error| unsent(format!("socket options: {error}")))?;
             let handshake = http1::handshake(rt::TokioIo::new(stream)).await;
             handshake.map_err(|error| unsent(format!("handshake: {error}")))
         };
-        let (sender, connection) = tokio::time::timeout(CONNECT_TIMEOUT, open)
+        let (sender, connection) = tokio::time::timeout(self.timeouts.connect, open)
             .await
             .map_err(|_| unsent("connect: timed out".to_owned()))??;
         tokio::spawn(connection);
@@ -194,7 +210,7 @@
         request: Request,
         wait: Duration,
     ) -> Result<Answer, error::Error> {
-        let end = tokio::time::Instant::now() + CALL_TIMEOUT + wait;
+        let end = tokio::time::Instant::now() + self.timeouts.call + wait;
         let permit = match step {
             error::Step::Watch => None,
             _ => match tokio::time::timeout_at(end, self.calls.acquire()).await {
@@ -213,118 +229,49 @@
         }
     }
 
-    /// The error that an answer which is no success stands for.
-    fn refusal(&self, step: error::Step, key: &str, answer: &Answer) -> error::Error {
-        let status = answer.status();
-        if status == http::StatusCode::PRECONDITION_FAILED {
-            return error::Error::Conflict {
+    /// The error that a refusal stands for.
+    fn refusal(&self, step: error::Step, key: &str, refusal: dialect::Refusal) -> error::Error {
+        match refusal {
+            dialect::Refusal::Conflict(found) => error::Error::Conflict {
                 step,
                 peer: self.peer.clone(),
                 key: key.to_owned(),
-                found: version(answer),
-            };
-        }
-        let text: String = String::from_utf8_lossy(answer.body())
-            .chars()
-            .take(200)
-            .collect();
-        let reason = format!("status {status}: {text}");
-        if status.is_client_error() || status == http::StatusCode::SERVICE_UNAVAILABLE {
-            return self.not_done(step, reason);
-        }
-        self.lost(step, reason)
-    }
-
-    async fn page(
-        &self,
-        step: error::Step,
-        target: &str,
-        wait: Duration,
-    ) -> Result<object::Page, error::Error> {
-        let always = object::Condition::Always;
-        let request = self.request(step, http::Method::GET, target, always, Bytes::new())?;
-        let answer = self.call(step, request, wait).await?;
-        if answer.status() != http::StatusCode::OK {
-            return Err(self.refusal(step, target, &answer));
-        }
-        let page: protocol::Page = serde_json::from_slice(answer.body())
-            .map_err(|error| self.not_done(step, format!("page: {error}")))?;
-        let page = page.decode();
-        page.ok_or_else(|| self.not_done(step, "page: a value is not hexadecimal"))
-    }
-
-    async fn read(&self, key: &str) -> Result<Option<object::Object>, error::Error> {
-        let step = error::Step::Get;
-        let always = object::Condition::Always;
-        let request = self.request(step, http::Method::GET, &target(key), always, Bytes::new())?;
-        let answer = self.call(step, request, Duration::ZERO).await?;
-        if answer.status() == http::StatusCode::NOT_FOUND {
-            return Ok(None);
-        }
-        if answer.status() != http::StatusCode::OK {
-            return Err(self.refusal(step, key, &answer));
+                found,
+            },
+            dialect::Refusal::NotDone(reason) => self.not_done(step, reason),
+            dialect::Refusal::Unclear(reason) => self.lost(step, reason),
         }
-        let version = version(&answer);
-        let version = version.ok_or_else(|| self.not_done(step, "answer without a version"))?;
-        Ok(Some(object::Object {
-            key: key.to_owned(),
-            version,
-            value: Some(answer.into_body()),
-        }))
     }
 
-    async fn write(
+    /// Makes a call and reads its answer.
+    async fn make<T>(
         &self,
-        key: &str,
-        value: Bytes,
-        condition: object::Condition,
-    ) -> Result<object::Version, error::Error> {
-        let step = error::Step::Put;
-        let request = self.request(step, http::Method::PUT, &target(key), condition, value)?;
-        let answer = self.call(step, request, Duration::ZERO).await?;
-        if answer.status() != http::StatusCode::OK {
-            return Err(self.refusal(step, key, &answer));
-        }
-        version(&answer).ok_or_else(|| self.unknown(step, "answer without a version"))
+        call: dialect::Call<'_>,
+        read: impl FnOnce(&dyn dialect::Dialect, Answer) -> Result<T, dialect::Refusal>,
+    ) -> Result<T, error::Error> {
+        let request = self.request(&call)?;
+        let answer = self.call(call.step(), request, call.wait()).await?;
+        let read = read(self.dialect.as_ref(), answer);
+        read.map_err(|refusal| self.refusal(call.step(), call.key(), refusal))
     }
-
-    async fn remove(&self, key: &str, condition: object::Condition) -> Result<(), error::Error> {
-        let step = error::Step::Delete;
-        let method = http::Method::DELETE;
-        let request = self.request(step, method, &target(key), condition, Bytes::new())?;
-        let answer = self.call(step, request, Duration::ZERO).await?;
-        if answer.status() != http::StatusCode::NO_CONTENT {
-            return Err(self.refusal(step, key, &answer));
-        }
-        Ok(())
-    }
-
-    async fn read_vms(&self) -> Result<Vec<vms::Vm>, error::Error> {
-        let step = error::Step::Vms;
-        let always = object::Condition::Always;
-        let get = http::Method::GET;
-        let request = self.request(step, get, protocol::VMS, always, Bytes::new())?;
-        let answer = self.call(step, request, Duration::ZERO).await?;
-        if answer.status() != http::StatusCode::OK {
-            return Err(self.refusal(step, protocol::VMS, &answer));
-        }
-        serde_json::from_slice(answer.body())
-            .map_err(|error| self.not_done(step, format!("VM list: {error}")))
-    }
-}
-
-fn target(key: &str) -> String {
-    format!("{}/{}", protocol::OBJECTS, protocol::encode(key))
 }
 
-fn version(answer: &Answer) -> Option<object::Version> {
-    let header = answer.headers().get(protocol::OBJECT_VERSION)?;
-    header.to_str().ok()?.parse().ok()
+/// Makes the kernel send at once and notice a peer that went silent.
+fn tune(stream: &tokio::net::TcpStream, silence: Duration) -> std::io::Result<()> {
+    // Without it an answer waits for a delayed acknowledgement.
+    stream.set_nodelay(true)?;
+    let socket = socket2::SockRef::from(stream);
+    let keepalive = socket2::TcpKeepalive::new()
+        .with_time(silence)
+        .with_interval(silence);
+    socket.set_tcp_keepalive(&keepalive)?;
+    socket.set_tcp_user_timeout(Some(silence))
 }
 
 impl store::Store for Client {
     fn get<'a>(&'a self, key: &'a str) -> store::Call<'a, Option<object::Object>> {
-        Box::pin(self.read(key))
+        let call = dialect::Call::Get { key };
+        Box::pin(self.make(call, move |dialect, answer| dialect.object(key, answer)))
     }
 
     fn put<'a>(
@@ -333,21 +280,22 @@
         value: Bytes,
         condition: object::Condition,
     ) -> store::Call<'a, object::Version> {
-        Box::pin(self.write(key, value, condition))
+        let call = dialect::Call::Put {
+            key,
+            value,
+            condition,
+        };
+        Box::pin(self.make(call, |dialect, answer| dialect.written(answer)))
     }
 
     fn delete<'a>(&'a self, key: &'a str, condition: object::Condition) -> store::Call<'a, ()> {
-        Box::pin(self.remove(key, condition))
+        let call = dialect::Call::Delete { key, condition };
+        Box::pin(self.make(call, |dialect, answer| dialect.removed(answer)))
     }
 
     fn list<'a>(&'a self, prefix: &'a str, after: &'a str) -> store::Call<'a, object::Page> {
-        let target = format!(
-            "{}?prefix={}&after={}",
-            protocol::OBJECTS,
-            protocol::encode(prefix),
-            protocol::encode(after)
-        );
-        Box::pin(async move { self.page(error::Step::List, &target, Duration::ZERO).await })
+        let call = dialect::Call::List { prefix, after };
+        Box::pin(self.make(call, move |dialect, answer| dialect.page(prefix, answer)))
     }
 
     fn watch<'a>(
@@ -356,18 +304,17 @@
         since: object::Version,
         wait: Duration,
     ) -> store::Call<'a, object::Page> {
-        let target = format!(
-            "{}?prefix={}&since={since}&wait-ms={}",
-            protocol::WATCH,
-            protocol::encode(prefix),
-            wait.as_millis()
-        );
-        Box::pin(async move { self.page(error::Step::Watch, &target, wait).await })
+        let call = dialect::Call::Watch {
+            prefix,
+            since,
+            wait,
+        };
+        Box::pin(self.make(call, move |dialect, answer| dialect.changes(prefix, answer)))
     }
 }
 
 impl vms::List for Client {
     fn vms(&self) -> store::Call<'_, Vec<vms::Vm>> {
-        Box::pin(self.read_vms())
+        Box::pin(self.make(dialect::Call::Vms, |dialect, answer| dialect.vms(answer)))
     }
 }
--- a/crates/platform/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod client;
 pub mod configuration;
 pub mod counter;
+pub mod dialect;
 pub mod error;
 mod history;
 pub mod memory;
--- /dev/null
+++ b/crates/store/src/protocol.rs
@@ -0,0 +1,301 @@
+//! How the platform's service is spoken over HTTP/1.1.
+//!
+//! | call | request | answer |
+//! | --- | --- | --- |
+//! | get | `GET /v1/objects/KEY` | 200 with the value and `object-version`, or 404 |
+//! | put | `PUT /v1/objects/KEY` with a condition | 200 with `object-version`, or 412 |
+//! | delete | `DELETE /v1/objects/KEY` with a condition | 204, or 412 |
+//! | list | `GET /v1/objects?prefix=P&after=A` | 200 with a [`Page`] |
+//! | watch | `GET /v1/watch?prefix=P&since=V&wait-ms=N` | 200 with a [`Page`] |
+//! | VM list | `GET /v1/vms` | 200 with a list of [`crate::vms::Vm`] |
+//!
+//! A condition is the header `if-version: V` or `if-absent: true`. An answer of 412 carries
+//! `object-version` where the object exists. Keys and parameters are percent-encoded. Any other
+//! status from 400 to 499, and 503, says that the call had no effect; the remaining ones say
+//! nothing about its effect.
+
+use bytes::Bytes;
+
+use crate::{dialect, object, vms};
+
+/// Path under which objects lie, followed by the key.
+pub const OBJECTS: &str = "/v1/objects";
+
+/// Path of watches.
+pub const WATCH: &str = "/v1/watch";
+
+/// Path of the VM list.
+pub const VMS: &str = "/v1/vms";
+
+/// Header with the version that must hold.
+pub const IF_VERSION: &str = "if-version";
+
+/// Header that says that the object must be absent.
+pub const IF_ABSENT: &str = "if-absent";
+
+/// Header with the version of an object.
+pub const OBJECT_VERSION: &str = "object-version";
+
+/// A value inside a page.
+#[derive(Debug, serde::Serialize, serde::Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Value {
+    /// UTF-8 text.
+    Text(String),
+    /// Other bytes, as hexadecimal digits.
+    Hex(String),
+}
+
+impl Value {
+    fn of(value: &Bytes) -> Self {
+        match std::str::from_utf8(value) {
+            Ok(text) => Self::Text(text.to_owned()),
+            Err(_) => Self::Hex(hex::encode(value)),
+        }
+    }
+
+    fn bytes(self) -> Option<Bytes> {
+        match self {
+            Self::Text(text) => Some(Bytes::from(text)),
+            Self::Hex(digits) => hex::decode(digits).ok().map(Bytes::from),
+        }
+    }
+}
+
+/// An object inside a page.
+#[derive(Debug, serde::Serialize, serde::Deserialize)]
+pub struct Object {
+    key: String,
+    version: object::Version,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    value: Option<Value>,
+}
+
+/// A page as JSON.
+#[derive(Debug, serde::Serialize, serde::Deserialize)]
+pub struct Page {
+    objects: Vec<Object>,
+    revision: object::Version,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    next: Option<String>,
+    #[serde(default)]
+    compacted: bool,
+}
+
+impl From<&object::Page> for Page {
+    fn from(page: &object::Page) -> Self {
+        let object = |object: &object::Object| Object {
+            key: object.key.clone(),
+            version: object.version,
+            value: object.value.as_ref().map(Value::of),
+        };
+        Self {
+            objects: page.objects.iter().map(object).collect(),
+            revision: page.revision,
+            next: page.next.clone(),
+            compacted: page.compacted,
+        }
+    }
+}
+
+impl Page {
+    /// The page; `None` where a value is not what it says.
+    #[must_use]
+    pub fn decode(self) -> Option<object::Page> {
+        let object = |object: Object| {
+            let value = match object.value {
+                Some(value) => Some(value.bytes()?),
+                None => None,
+            };
+            Some(object::Object {
+                key: object.key,
+                version: object.version,
+                value,
+            })
+        };
+        let objects: Option<_> = self.objects.into_iter().map(object).collect();
+        Some(object::Page {
+            objects: objects?,
+            revision: self.revision,
+            next: self.next,
+            compacted: self.compacted,
+        })
+    }
+}
+
+/// The project's own dialect.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Own;
+
+fn target(key: &str) -> String {
+    format!("{OBJECTS}/{}", encode(key))
+}
+
+fn version(answer: &dialect::Answer) -> Option<object::Version> {
+    let header = answer.headers().get(OBJECT_VERSION)?;
+    header.to_str().ok()?.parse().ok()
+}
+
+fn conditional(request: &mut dialect::Request, condition: object::Condition) {
+    let headers = request.headers_mut();
+    match condition {
+        object::Condition::Always => {}
+        object::Condition::Absent => {
+            headers.insert(IF_ABSENT, http::HeaderValue::from_static("true"));
+        }
+        object::Condition::At(version) => {
+            headers.insert(IF_VERSION, version.0.into());
+        }
+    }
+}
+
+/// What an answer that is no success stands for.
+fn refusal(answer: &dialect::Answer) -> dialect::Refusal {
+    let status = answer.status();
+    if status == http::StatusCode::PRECONDITION_FAILED {
+        return dialect::Refusal::Conflict(version(answer));
+    }
+    let reason = dialect::reason(answer);
+    if status.is_client_error() || status == http::StatusCode::SERVICE_UNAVAILABLE {
+        return dialect::Refusal::NotDone(reason);
+    }
+    dialect::Refusal::Unclear(reason)
+}
+
+impl dialect::Dialect for Own {
+    fn request(&self, call: &dialect::Call<'_>) -> dialect::Request {
+        let get = http::Method::GET;
+        match call {
+            dialect::Call::Get { key } => dialect::request(get, &target(key), Bytes::new()),
+            dialect::Call::Put {
+                key,
+                value,
+                condition,
+            } => {
+                let put = http::Method::PUT;
+                let mut request = dialect::request(put, &target(key), value.clone());
+                conditional(&mut request, *condition);
+                request
+            }
+            dialect::Call::Delete { key, condition } => {
+                let delete = http::Method::DELETE;
+                let mut request = dialect::request(delete, &target(key), Bytes::new());
+                conditional(&mut request, *condition);
+                request
+            }
+            dialect::Call::List { prefix, after } => {
+                let (prefix, after) = (encode(prefix), encode(after));
+                let target = format!("{OBJECTS}?prefix={prefix}&after={after}");
+                dialect::request(get, &target, Bytes::new())
+            }
+            dialect::Call::Watch {
+                prefix,
+                since,
+                wait,
+            } => {
+                let (prefix, wait) = (encode(prefix), wait.as_millis());
+                let target = format!("{WATCH}?prefix={prefix}&since={since}&wait-ms={wait}");
+                dialect::request(get, &target, Bytes::new())
+            }
+            dialect::Call::Vms => dialect::request(get, VMS, Bytes::new()),
+        }
+    }
+
+    fn object(
+        &self,
+        key: &str,
+        answer: dialect::Answer,
+    ) -> Result<Option<object::Object>, dialect::Refusal> {
+        if answer.status() == http::StatusCode::NOT_FOUND {
+            return Ok(None);
+        }
+        if answer.status() != http::StatusCode::OK {
+            return Err(refusal(&answer));
+        }
+        let missing = || dialect::Refusal::NotDone("answer without a version".to_owned());
+        let version = version(&answer).ok_or_else(missing)?;
+        Ok(Some(object::Object {
+            key: key.to_owned(),
+            version,
+            value: Some(answer.into_body()),
+        }))
+    }
+
+    fn written(&self, answer: dialect::Answer) -> Result<object::Version, dialect::Refusal> {
+        if answer.status() != http::StatusCode::OK {
+            return Err(refusal(&answer));
+        }
+        let missing = || dialect::Refusal::Unclear("answer without a version".to_owned());
+        version(&answer).ok_or_else(missing)
+    }
+
+    fn removed(&self, answer: dialect::Answer) -> Result<(), dialect::Refusal> {
+        if answer.status() != http::StatusCode::NO_CONTENT {
+            return Err(refusal(&answer));
+        }
+        Ok(())
+    }
+
+    fn page(
+        &self,
+        _prefix: &str,
+        answer: dialect::Answer,
+    ) -> Result<object::Page, dialect::Refusal> {
+        if answer.status() != http::StatusCode::OK {
+            return Err(refusal(&answer));
+        }
+        let unread = |reason: String| dialect::Refusal::NotDone(format!("page: {reason}"));
+        let page: Page =
+            serde_json::from_slice(answer.body()).map_err(|error| unread(error.to_string()))?;
+        let page = page.decode();
+        page.ok_or_else(|| unread("a value is not hexadecimal".to_owned()))
+    }
+
+    fn changes(
+        &self,
+        prefix: &str,
+        answer: dialect::Answer,
+    ) -> Result<object::Page, dialect::Refusal> {
+        self.page(prefix, answer)
+    }
+
+    fn vms(&self, answer: dialect::Answer) -> Result<Vec<vms::Vm>, dialect::Refusal> {
+        if answer.status() != http::StatusCode::OK {
+            return Err(refusal(&answer));
+        }
+        let unread = |error| dialect::Refusal::NotDone(format!("VM list: {error}"));
+        serde_json::from_slice(answer.body()).map_err(unread)
+    }
+}
+
+/// Percent-encodes a key or parameter; `/` stays.
+#[must_use]
+pub fn encode(text: &str) -> String {
+    let mut encoded = String::with_capacity(text.len());
+    for byte in text.bytes() {
+        if byte.is_ascii_alphanumeric() || matches!(byte, b'-' | b'.' | b'_' | b'~' | b'/') {
+            encoded.push(char::from(byte));
+        } else {
+            encoded.push_str(&format!("%{byte:02X}"));
+        }
+    }
+    encoded
+}
+
+/// Undoes [`encode`]; `None` where the text is not percent-encoded UTF-8.
+#[must_use]
+pub fn decode(text: &str) -> Option<String> {
+    let mut decoded = Vec::with_capacity(text.len());
+    let mut rest = text.as_bytes();
+    while let Some((first, tail)) = rest.split_first() {
+        rest = tail;
+        if *first != b'%' {
+            decoded.push(*first);
+            continue;
+        }
+        let byte = hex::decode(tail.get(..2)?).ok()?;
+        decoded.extend_from_slice(&byte);
+        rest = &tail[2..];
+    }
+    String::from_utf8(decoded).ok()
+}
--- a/crates/platform/tests/change.rs
+++ b/crates/store/tests/change.rs
@@ -9,8 +9,8 @@
 
 use bytes::Bytes;
 use faulty::{Fate, Faulty};
-use monsooncart_platform::store::Store as _;
-use monsooncart_platform::{change, memory, object};
+use monsooncart_store::store::Store as _;
+use monsooncart_store::{change, memory, object};
 
 async fn settle(
     memory: &Arc<memory::Memory>,
--- a/crates/platform/tests/memory.rs
+++ b/crates/store/tests/memory.rs
@@ -6,9 +6,9 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use monsooncart_platform::store::Store as _;
-use monsooncart_platform::vms::List as _;
-use monsooncart_platform::{error, memory, object, vms};
+use monsooncart_store::store::Store as _;
+use monsooncart_store::vms::List as _;
+use monsooncart_store::{error, memory, object, vms};
 
 /// Longest time that a test waits for what must come.
 const PATIENCE: Duration = Duration::from_secs(60);
--- a/crates/platform/tests/protocol.rs
+++ b/crates/store/tests/protocol.rs
@@ -1,7 +1,7 @@
 //! The encoding of keys, values and pages.
 
 use bytes::Bytes;
-use monsooncart_platform::{object, protocol};
+use monsooncart_store::{object, protocol};
 
 fn page(key: &str, value: Option<Bytes>) -> object::Page {
     let object = object::Object {
--- a/crates/testbed/src/commands/platform.rs
+++ b/crates/testbed/src/commands/platform.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 
 use clap::Args;
-use monsooncart_platform::memory;
+use monsooncart_store::memory;
 use monsooncart_testbed::platform;
 
 /// Arguments of `platform`.
--- a/crates/testbed/src/experiment/rollout.rs
+++ b/crates/testbed/src/experiment/rollout.rs
@@ -10,7 +10,7 @@
 
 use monsooncart_config::object as config;
 use monsooncart_daemon::engine;
-use monsooncart_platform::{object, store::Store as _};
+use monsooncart_store::{object, store::Store as _};
 use monsooncart_types::span;
 use rand::rngs::StdRng;
 use rand::{RngExt as _, SeedableRng as _};
--- a/crates/testbed/src/local.rs
+++ b/crates/testbed/src/local.rs
@@ -12,7 +12,7 @@
 
 use monsooncart_config::{fleet, organisation, settings, zone};
 use monsooncart_daemon::{config, embedded, engine, error, policies};
-use monsooncart_platform::{memory, vms};
+use monsooncart_store::{memory, vms};
 use monsooncart_types::span;
 use tokio::net::TcpListener;
 
--- a/crates/testbed/src/local/outage.rs
+++ b/crates/testbed/src/local/outage.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use monsooncart_platform::{error, memory, object, store, vms};
+use monsooncart_store::{error, memory, object, store, vms};
 use tokio::sync::watch;
 
 /// The name of the platform in errors.
--- a/crates/testbed/src/local/plan.rs
+++ b/crates/testbed/src/local/plan.rs
@@ -98,6 +98,8 @@
             slots: self.slots,
             connections: 330,
             leaving: false,
+            cold: std::time::Duration::ZERO,
+            started_millis: 0,
         })
     }
 
--- a/crates/testbed/src/platform.rs
+++ b/crates/testbed/src/platform.rs
@@ -1,7 +1,7 @@
 //! The platform's object API and VM list, served over HTTP.
 //!
 //! [`Platform`] serves a [`memory::Memory`] on a bound listener in the protocol of
-//! [`monsooncart_platform::protocol`]; a second listener takes the faults that it is to show and
+//! [`monsooncart_store::protocol`]; a second listener takes the faults that it is to show and
 //! reports the calls that it got. Faults lie in this layer: what the store holds is always right.
 
 use std::sync::{Arc, Mutex, PoisonError};
@@ -12,7 +12,7 @@
 use hyper::server::conn::http1;
 use hyper::service;
 use hyper_util::rt;
-use monsooncart_platform::{error, memory, object, protocol, store, vms};
+use monsooncart_store::{error, memory, object, protocol, store, vms};
 use tokio::net;
 use tokio::sync::watch;
 
--- a/crates/testbed/src/platform/rates.rs
+++ b/crates/testbed/src/platform/rates.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use monsooncart_platform::counter;
+use monsooncart_store::counter;
 
 /// Calls of one step.
 #[derive(Clone, Copy, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
--- a/crates/testbed/tests/platform.rs
+++ b/crates/testbed/tests/platform.rs
@@ -10,9 +10,9 @@
 use http_body_util::{BodyExt as _, Full};
 use hyper::client::conn::http1;
 use hyper_util::rt;
-use monsooncart_platform::store::Store as _;
-use monsooncart_platform::vms::List as _;
-use monsooncart_platform::{client, error, memory, object, vms};
+use monsooncart_store::store::Store as _;
+use monsooncart_store::vms::List as _;
+use monsooncart_store::{client, error, memory, object, vms};
 use monsooncart_testbed::platform;
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 
--- a/crates/types/src/span.rs
+++ b/crates/types/src/span.rs
@@ -6,7 +6,7 @@
 
 /// A text that is not a duration.
 #[derive(Debug, Clone, PartialEq, Eq, derive_more::Display, derive_more::Error)]
-#[display("duration {text:?} is not a whole number followed by ms, s, m, h or d")]
+#[display("duration {text:?} is not a number followed by ms, s, m, h or d")]
 pub struct Error {
     /// The refused text.
     pub text: String,
@@ -32,18 +32,28 @@
         let error = || Error {
             text: text.to_owned(),
         };
-        let digits = text.bytes().take_while(u8::is_ascii_digit).count();
+        let in_number = |byte: &u8| byte.is_ascii_digit() || *byte == b'.';
+        let digits = text.bytes().take_while(in_number).count();
         let (number, unit) = text.split_at(digits);
-        let number: u64 = number.parse().map_err(|_| error())?;
+        let (whole, fraction) = number.split_once('.').unwrap_or((number, "0"));
+        let whole: u64 = whole.parse().map_err(|_| error())?;
+        let fraction = parse_fraction(fraction).ok_or_else(error)?;
         let (_, scale) = UNITS
             .into_iter()
             .find(|(name, _)| *name == unit)
             .ok_or_else(error)?;
-        let milliseconds = number.checked_mul(scale).ok_or_else(error)?;
-        Ok(Self(Duration::from_millis(milliseconds)))
+        let milliseconds = whole.checked_mul(scale).ok_or_else(error)?;
+        let rest = Duration::from_millis(scale).mul_f64(fraction);
+        Ok(Self(Duration::from_millis(milliseconds) + rest))
     }
 }
 
+/// The digits behind a decimal point, from 0 to below 1.
+fn parse_fraction(digits: &str) -> Option<f64> {
+    let is_number = !digits.is_empty() && digits.bytes().all(|b| b.is_ascii_digit());
+    is_number.then(|| format!("0.{digits}").parse().ok())?
+}
+
 impl fmt::Display for Span {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let milliseconds = u64::try_from(self.0.as_millis()).unwrap_or(u64::MAX);
--- a/crates/wire/src/news.rs
+++ b/crates/wire/src/news.rs
@@ -77,6 +77,8 @@
         key: object::Key,
         /// Its version.
         version: u64,
+        /// Its value, where it is small; else it is pulled.
+        value: Option<object::Value>,
     },
 }
 
--- a/src/commands/config/apply.rs
+++ b/src/commands/config/apply.rs
@@ -3,7 +3,7 @@
 use std::{net, path};
 
 use clap::Args;
-use monsooncart_platform::{client, configuration};
+use monsooncart_store::{client, configuration};
 use monsooncart_types::{id, span};
 
 use super::{check, failure};
--- a/src/commands/config/diff.rs
+++ b/src/commands/config/diff.rs
@@ -3,7 +3,7 @@
 use std::{net, path};
 
 use clap::Args;
-use monsooncart_platform::{client, configuration};
+use monsooncart_store::{client, configuration};
 
 use super::{check, failure};
 use crate::{exit, output};
--- a/src/commands/config/failure.rs
+++ b/src/commands/config/failure.rs
@@ -1,6 +1,6 @@
 //! Tells operators why a change was not made.
 
-use monsooncart_platform::configuration;
+use monsooncart_store::configuration;
 
 use crate::{exit, output};
 
--- a/src/commands/config/show.rs
+++ b/src/commands/config/show.rs
@@ -3,7 +3,7 @@
 use std::net;
 
 use clap::Args;
-use monsooncart_platform::{client, configuration};
+use monsooncart_store::{client, configuration};
 
 use super::failure;
 use crate::{exit, output};
--- a/src/commands/report/burn.rs
+++ b/src/commands/report/burn.rs
@@ -6,7 +6,7 @@
 use clap::Args;
 use monsooncart_config::objective;
 use monsooncart_daemon::ledger;
-use monsooncart_platform::client;
+use monsooncart_store::client;
 use monsooncart_types::id;
 use monsooncart_usage::burn::{html, report, snapshot};
 
--- a/src/commands/run.rs
+++ b/src/commands/run.rs
@@ -13,6 +13,7 @@
 #[derive(Args, Debug)]
 pub struct Arguments {
     /// File with the settings of the daemon, in JSON with comments.
+    #[arg(env = monsooncart_platform::SETTINGS)]
     settings: path::PathBuf,
 }
 
@@ -29,7 +30,8 @@
                 return exit::Code::Input;
             }
         };
-        let engine = match config::Config::new(settings).start().await {
+        let config = config::Config::new(settings).interface(monsooncart_platform::interface());
+        let engine = match config.start().await {
             Ok(engine) => engine,
             Err(error) => {
                 eprintln!("daemon: {error}");
--- a/src/commands/usage.rs
+++ b/src/commands/usage.rs
@@ -4,7 +4,7 @@
 
 use clap::Args;
 use monsooncart_daemon::ledger;
-use monsooncart_platform::client;
+use monsooncart_store::client;
 use monsooncart_types::id;
 use monsooncart_usage::{counter, page, sample, tally, totals};
 use strum::IntoEnumIterator as _;
--- a/src/force.rs
+++ b/src/force.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 use std::{fmt, net};
 
-use monsooncart_platform::{configuration, object};
+use monsooncart_store::{configuration, object};
 
 use crate::admin;
 
--- a/src/objects.rs
+++ b/src/objects.rs
@@ -1,6 +1,6 @@
 //! Reads objects that daemons have written to the platform.
 
-use monsooncart_platform::{error, store};
+use monsooncart_store::{error, store};
 
 use crate::output;
 
--- a/tests/all/config_apply.rs
+++ b/tests/all/config_apply.rs
@@ -5,7 +5,7 @@
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
 
-use monsooncart_platform::{client, configuration};
+use monsooncart_store::{client, configuration};
 use monsooncart_testbed::platform;
 
 use crate::fixture::{fleet, http, process, until};
--- a/tests/all/configuration.rs
+++ b/tests/all/configuration.rs
@@ -1,6 +1,6 @@
 //! Promise: an accepted configuration is in force everywhere within seconds and never reverts.
 
-use monsooncart_platform::{client, configuration};
+use monsooncart_store::{client, configuration};
 use monsooncart_testbed::platform;
 use rustix::process::Signal;
 
