Take changed settings while running: SIGHUP and a changed file

Change: settings are read again on SIGHUP and when the file's time of change moves; seeds are in force at once, all else at the next start.

--- a/crates/cluster/src/engine.rs
+++ b/crates/cluster/src/engine.rs
@@ -215,6 +215,11 @@
         self.shared.tell_by_calls(&[item], &to);
     }
 
+    /// Replaces the peer listeners tried besides the VM list.
+    pub fn reseed(&self, seeds: Vec<std::net::SocketAddr>) {
+        self.shared.carry(event::Event::Seeds(seeds));
+    }
+
     /// Tells the fleet that this daemon takes no new duties; it goes on running.
     pub fn drain(&self) {
         self.shared.carry(event::Event::Leave);
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -37,5 +37,6 @@
 pub mod pages;
 pub mod parts;
 pub mod policies;
+pub mod reload;
 pub mod secret;
 pub mod status;
--- a/crates/policy/src/membership/event.rs
+++ b/crates/policy/src/membership/event.rs
@@ -39,6 +39,8 @@
     Records(Vec<record::Record>),
     /// The VM list was read.
     Vms(Vec<Vm>),
+    /// The addresses tried besides the VM list are others now.
+    Seeds(Vec<net::SocketAddr>),
     /// This daemon starts to leave: it takes no new duties and goes on running.
     Leave,
     /// This daemon ends now.
--- a/crates/policy/src/membership/protocol.rs
+++ b/crates/policy/src/membership/protocol.rs
@@ -173,6 +173,7 @@
             event::Event::Tick => self.tick(now, actions),
             event::Event::Datagram(message) => self.datagram(now, &message, actions),
             event::Event::Records(records) => self.take_all(now, &records, actions),
+            event::Event::Seeds(seeds) => self.seeds = seeds,
             event::Event::Vms(vms) => self.vms(now, vms, actions),
             event::Event::Leave => self.leave(now, actions),
             event::Event::End => self.end(now, actions),
--- a/src/commands/run.rs
+++ b/src/commands/run.rs
@@ -1,14 +1,18 @@
 //! `run`: runs a daemon.
 
 use std::path;
+use std::time::Duration;
 
 use clap::Args;
 use monsooncart_config::settings;
-use monsooncart_daemon::{config, engine};
+use monsooncart_daemon::{config, engine, reload};
 use tokio::signal::unix;
 
 use crate::exit;
 
+/// Time between two looks at the file of settings, which may change without a signal.
+const LOOK: Duration = Duration::from_secs(2);
+
 /// Arguments of `run`.
 #[derive(Args, Debug)]
 pub struct Arguments {
@@ -21,7 +25,7 @@
     /// Runs the daemon until it is told to stop.
     ///
     /// SIGTERM or SIGINT begins a planned stop, which cuts nothing; a second one ends the daemon
-    /// at once.
+    /// at once. On SIGHUP, and when their file has changed, settings are read again.
     pub async fn run(self) -> exit::Code {
         let settings = match settings::Settings::read(&self.settings) {
             Ok(settings) => settings,
@@ -45,29 +49,78 @@
             engine.peers(),
             engine.advertised()
         );
-        serve(&engine).await
+        serve(&engine, &self.settings).await
+    }
+}
+
+/// The signals that a daemon takes.
+struct Signals {
+    terminate: unix::Signal,
+    interrupt: unix::Signal,
+    hangup: unix::Signal,
+}
+
+impl Signals {
+    fn new() -> std::io::Result<Self> {
+        Ok(Self {
+            terminate: unix::signal(unix::SignalKind::terminate())?,
+            interrupt: unix::signal(unix::SignalKind::interrupt())?,
+            hangup: unix::signal(unix::SignalKind::hangup())?,
+        })
     }
 }
 
-async fn serve(engine: &engine::Engine) -> exit::Code {
-    let signals = unix::signal(unix::SignalKind::terminate())
-        .and_then(|terminate| Ok((terminate, unix::signal(unix::SignalKind::interrupt())?)));
-    let (mut terminate, mut interrupt) = match signals {
+async fn serve(engine: &engine::Engine, path: &path::Path) -> exit::Code {
+    let mut signals = match Signals::new() {
         Ok(signals) => signals,
         Err(error) => {
             eprintln!("daemon: signals are not to be had: {error}");
             return exit::Code::Failure;
         }
     };
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
-        () = engine.drain_asked() => {}
+    let mut looks = tokio::time::interval(LOOK);
+    let mut seen = modified(path);
+    loop {
+        tokio::select! {
+            _ = signals.terminate.recv() => break,
+            _ = signals.interrupt.recv() => break,
+            () = engine.drain_asked() => break,
+            _ = signals.hangup.recv() => reread(engine, path),
+            _ = looks.tick() => {
+                let now = modified(path);
+                if now != seen {
+                    seen = now;
+                    reread(engine, path);
+                }
+            }
+        }
     }
-    tokio::select! {
-        () = engine.stop() => exit::Code::Success,
-        _ = terminate.recv() => abort(engine),
-        _ = interrupt.recv() => abort(engine),
+    let mut stop = std::pin::pin!(engine.stop());
+    loop {
+        tokio::select! {
+            () = stop.as_mut() => return exit::Code::Success,
+            _ = signals.terminate.recv() => return abort(engine),
+            _ = signals.interrupt.recv() => return abort(engine),
+            // A daemon that is stopping needs no other settings.
+            _ = signals.hangup.recv() => {}
+        }
+    }
+}
+
+/// When the settings were written, where that can be told.
+fn modified(path: &path::Path) -> Option<std::time::SystemTime> {
+    std::fs::metadata(path).and_then(|m| m.modified()).ok()
+}
+
+/// Takes the settings again. Those in force stay where the file is not good.
+fn reread(engine: &engine::Engine, path: &path::Path) {
+    match settings::Settings::read(path) {
+        Ok(settings) => {
+            let _outcome = reload::take(engine, &settings);
+        }
+        Err(errors) => {
+            log::error!(errors:%; "daemon: settings are not good, keeping those in force");
+        }
     }
 }
 
