Log structured lines on standard output without ever waiting; tests of the gateway

Change: a bounded queue with a writer thread, one line for each request with its attempts and the grounds of each choice, turns of what servers are held for, metrics of durations, store calls and dropped lines, explain log. Stand-ins of the users' store and servers in the testbed; tests over real processes; tests of the selector.

--- a/benches/config.rs
+++ b/benches/config.rs
@@ -56,6 +56,8 @@
         slots: 4,
         connections: 330,
         leaving: false,
+        cold: span::Span::default(),
+        started_millis: 0,
     }
 }
 
--- a/benches/entries.rs
+++ b/benches/entries.rs
@@ -50,6 +50,8 @@
         slots: 2,
         connections: 330,
         leaving: false,
+        cold: span::Span::default(),
+        started_millis: 0,
     };
     service::Service {
         name: name(&format!("service-{number}")),
--- a/benches/policy.rs
+++ b/benches/policy.rs
@@ -21,6 +21,8 @@
         slots: SLOTS,
         near: number.is_multiple_of(3),
         leaving: false,
+        cold: Duration::ZERO,
+        started_millis: 0,
     };
     inventory::Inventory {
         servers: (0..servers).map(server).collect(),
--- a/crates/config/src/parse/settings.rs
+++ b/crates/config/src/parse/settings.rs
@@ -180,6 +180,7 @@
     let known = &[
         "directory",
         "readiness",
+        "metrics",
         "seeds_port",
         "grace",
         "lifetime_max",
@@ -188,6 +189,10 @@
     let fields = reader.fields(node, GATEWAY, known)?;
     let directory = listener(reader, &fields, "directory", LISTENER, listeners);
     let readiness = listener(reader, &fields, "readiness", LISTENER, listeners);
+    let metrics = match fields.get("metrics") {
+        Some(_) => Some(listener(reader, &fields, "metrics", LISTENER, listeners)?),
+        None => None,
+    };
     let port = fields.get("seeds_port");
     let port = match port {
         Some(node) => Some(port_of(reader, &node)?),
@@ -202,6 +207,7 @@
     Some(settings::Gateway {
         directory: directory?,
         readiness: readiness?,
+        metrics,
         seeds_port: port,
         grace: grace?,
         lifetime_max: lifetime?,
--- a/crates/config/src/server.rs
+++ b/crates/config/src/server.rs
@@ -21,10 +21,11 @@
     /// Whether the asset register says that it is leaving.
     #[serde(default)]
     pub leaving: bool,
-    /// How much longer it is slow after its start, as it said last.
-    #[serde(default)]
+    /// How much longer it is slow after its start, as it said last; operators do not write it.
+    #[serde(skip)]
     pub cold: span::Span,
-    /// When this run of it started, in milliseconds since 1970; 0 where that is not known.
-    #[serde(default)]
+    /// When this run of it started, in milliseconds since 1970; 0 where that is not known, as
+    /// operators do not write it.
+    #[serde(skip)]
     pub started_millis: u64,
 }
--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -47,6 +47,8 @@
     pub directory: net::SocketAddr,
     /// Listener for those who ask whether the daemon is ready.
     pub readiness: net::SocketAddr,
+    /// Listener for those who collect metrics, where the `admin` one is not for them.
+    pub metrics: Option<net::SocketAddr>,
     /// Port of the `peers` listener of the seeds, where `seeds` names another one.
     pub seeds_port: Option<u16>,
     /// Time from the request to stop to the end of the process.
--- a/crates/config/src/snapshot.rs
+++ b/crates/config/src/snapshot.rs
@@ -150,7 +150,7 @@
             (object::Key::Organisations(block), object::Value::Organisations(organisations)) => {
                 self.take_block(*block, &organisations);
             }
-            (object::Key::Routing, object::Value::Routing(routing)) => self.take_routing(routing),
+            (object::Key::Routing, object::Value::Routing(routing)) => self.take_routing(*routing),
             (object::Key::Registration(server), object::Value::Registration(registration)) => {
                 let registration = registration.map(|r| Arc::new(*r));
                 for service in Arc::make_mut(&mut self.registry).take(server, registration) {
@@ -189,8 +189,8 @@
         Arc::from(service)
     }
 
-    fn take_routing(&mut self, routing: Box<routing::Routing>) {
-        let old = std::mem::replace(&mut self.routing, Arc::new(*routing));
+    fn take_routing(&mut self, routing: routing::Routing) {
+        let old = std::mem::replace(&mut self.routing, Arc::new(routing));
         self.table = Arc::new(routing::Table::new(&self.routing));
         let names = old.services.iter().chain(&self.routing.services);
         let names: std::collections::BTreeSet<_> = names.map(|s| s.name.clone()).collect();
--- a/crates/daemon/src/admin.rs
+++ b/crates/daemon/src/admin.rs
@@ -31,6 +31,27 @@
     }
 }
 
+/// The metrics alone.
+pub struct Metrics {
+    /// The daemon.
+    pub engine: engine::Engine,
+}
+
+impl pages::Pages for Metrics {
+    fn answer<'a>(&'a self, _peer: net::IpAddr, request: &'a Request) -> BoxFuture<'a, Answer> {
+        let answer = match request.uri().path() {
+            "/metrics" => metrics(&self.engine),
+            _ => text(http::StatusCode::NOT_FOUND, "no such page\n"),
+        };
+        std::future::ready(answer).boxed()
+    }
+}
+
+/// Serves metrics until the task is dropped.
+pub async fn serve_metrics(listener: TcpListener, engine: engine::Engine) {
+    pages::serve(listener, CONNECTIONS, Arc::new(Metrics { engine })).await;
+}
+
 /// Serves operators until the task is dropped.
 pub async fn serve(listener: TcpListener, engine: engine::Engine) {
     pages::serve(listener, CONNECTIONS, Arc::new(Admin { engine })).await;
--- a/crates/daemon/src/engine.rs
+++ b/crates/daemon/src/engine.rs
@@ -72,6 +72,10 @@
         }
         let (caller_listener, callers) = bind("caller", settings.callers).await?;
         let (admin_listener, admin) = bind("admin", settings.admin).await?;
+        let metrics = match settings.gateway.as_ref().and_then(|g| g.metrics) {
+            Some(address) => Some(bind("metrics", address).await?.0),
+            None => None,
+        };
         let gateway = match &settings.gateway {
             Some(gateway) => Some((
                 bind("directory", gateway.directory).await?.0,
@@ -92,6 +96,9 @@
         let serve = proxy.serve(caller_listener, quiet.cancelled_owned());
         engine.shared.serving.spawn(serve);
         engine.spawn(admin::serve(admin_listener, engine.clone()));
+        if let Some(listener) = metrics {
+            engine.spawn(admin::serve_metrics(listener, engine.clone()));
+        }
         if let Some(((directory, readiness), interface)) = gateway.zip(interface) {
             let questions = interface.questions.clone();
             let pages = Arc::new(gateway::pages::Pages::new(engine.clone(), questions));
--- a/crates/daemon/src/gateway/evidence.rs
+++ b/crates/daemon/src/gateway/evidence.rs
@@ -29,7 +29,7 @@
         tokio::time::sleep(GATHER).await;
         let active = core.proxy().map(monsooncart_proxy::engine::Engine::active);
         for service in active.unwrap_or_default() {
-            tell_service(&core, service);
+            tell_service(&core, &service);
         }
     }
 }
@@ -38,13 +38,13 @@
     core.proxy().is_some_and(|proxy| proxy.in_flight() > 0)
 }
 
-fn tell_service(core: &core::Core, service: id::Service) {
+fn tell_service(core: &core::Core, service: &id::Service) {
     let (Some(cluster), Some(proxy), Some(gateway)) =
         (core.cluster(), core.proxy(), core.gateway.as_ref())
     else {
         return;
     };
-    let digests = proxy.digests(&service);
+    let digests = proxy.digests(service);
     if digests.is_empty() {
         return;
     }
--- a/crates/daemon/src/parts.rs
+++ b/crates/daemon/src/parts.rs
@@ -13,7 +13,7 @@
 
 use crate::{
     accounts, calls, claims, core, embedded, error, fleet, floors, gateway, handover, meter,
-    policies,
+    metrics, policies,
 };
 
 /// The platform, as two borders.
@@ -75,6 +75,9 @@
         let registry = prometheus::Registry::new();
         let core = Arc::new(core::Core::new(settings));
         let claims = Arc::new(claims::Claims::new(core.clone()));
+        let kept = metrics::Kept::new(&core).map_err(error::Error::Metrics)?;
+        let registered = registry.register(Box::new(kept));
+        registered.map_err(error::Error::Metrics)?;
         let mut parts = Self {
             core,
             claims,
--- a/crates/policy/src/action.rs
+++ b/crates/policy/src/action.rs
@@ -6,6 +6,34 @@
 
 use crate::{handle, outcome};
 
+/// What was known of a server when an attempt was sent to it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, derive_more::Display)]
+#[display("risk={risk}/1000,evidence={evidence_millis}ms,load={load}/{slots}")]
+pub struct Grounds {
+    /// Chance that it fails the attempt, in thousandths; 0 where the policy reckons none.
+    pub risk: u32,
+    /// Age of the last evidence about it, in milliseconds.
+    pub evidence_millis: u64,
+    /// Attempts in flight there, as far as known.
+    pub load: u32,
+    /// Its slots.
+    pub slots: u32,
+}
+
+/// A change of what is held of a server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display, strum::IntoStaticStr)]
+#[strum(serialize_all = "kebab-case")]
+pub enum Turn {
+    /// It is likely to be gray.
+    Doubted,
+    /// It is likely to be sound again.
+    Acquitted,
+    /// No connection to it can be opened; it is left alone for a while.
+    Unreachable,
+    /// Another server has its address.
+    Replaced,
+}
+
 /// An action.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
@@ -19,6 +47,8 @@
         server: handle::Server,
         /// Whether only a new or just proved connection will do.
         fresh: bool,
+        /// What was known of the server.
+        grounds: Grounds,
     },
     /// Gives the caller the fleet's own final answer at once.
     Refuse {
@@ -38,6 +68,15 @@
     },
     /// Asks the fleet's ledger to put a server back in service.
     Restore(handle::Server),
+    /// Tells operators that a server is held for something else than before.
+    Note {
+        /// The server.
+        server: handle::Server,
+        /// What it is held for now.
+        turn: Turn,
+        /// The evidence, in words for operators.
+        evidence: String,
+    },
     /// Asks a server's health endpoint.
     Probe(handle::Server),
     /// Closes connections to a server that were opened before a time.
--- a/crates/policy/src/balancer/dispatch.rs
+++ b/crates/policy/src/balancer/dispatch.rs
@@ -473,6 +473,7 @@
             attempt,
             server,
             fresh: target.fresh,
+            grounds: action::Grounds::default(),
         });
     }
 }
--- a/crates/policy/src/naive.rs
+++ b/crates/policy/src/naive.rs
@@ -72,6 +72,7 @@
             attempt,
             server: server.spec.handle,
             fresh: false,
+            grounds: action::Grounds::default(),
         });
     }
 
--- a/crates/policy/src/selector.rs
+++ b/crates/policy/src/selector.rs
@@ -116,7 +116,7 @@
             }
             event::Event::Evidence { from, digests } => {
                 if from != self.config.instance {
-                    self.hear(now, from, &digests);
+                    self.hear(now, from, &digests, actions);
                 }
             }
             event::Event::Blame {
@@ -297,6 +297,7 @@
         let attempt = handle::Attempt(self.attempts);
         let target = &mut self.servers[place];
         let server = target.spec.handle;
+        let grounds = target.grounds(now);
         target.sent(now);
         pending.attempts.push(attempt);
         pending.tried.push(server);
@@ -315,6 +316,7 @@
             attempt,
             server,
             fresh: !pending.arrival.repeatable,
+            grounds,
         });
     }
 
@@ -419,6 +421,22 @@
             outcome::End::Unsent => server.unreachable(now),
             outcome::End::Timeout | outcome::End::Cancelled => {}
         }
+        self.note(now, flight.server, actions);
+    }
+
+    /// Tells operators where a server is held for something else than before.
+    fn note(&mut self, now: time::Time, server: handle::Server, actions: &mut Vec<action::Action>) {
+        let Some(held) = self.server(server) else {
+            return;
+        };
+        if let Some(turn) = held.turn(now) {
+            let evidence = held.evidence(now);
+            actions.push(action::Action::Note {
+                server,
+                turn,
+                evidence,
+            });
+        }
     }
 
     /// Takes the break of a connection, which may be the request's doing.
@@ -502,8 +520,8 @@
         }
         let reason = match report.end {
             _ if poisonous => outcome::Reason::Poison,
-            _ if pending.unknown && !arrival.repeatable => outcome::Reason::Unknown,
             outcome::End::Timeout => outcome::Reason::Timeout,
+            _ if pending.unknown && !arrival.repeatable => outcome::Reason::Unknown,
             outcome::End::Shed { .. } => outcome::Reason::Overload,
             _ => outcome::Reason::Exhausted,
         };
@@ -516,10 +534,12 @@
         now: time::Time,
         from: monsooncart_types::instance::Instance,
         digests: &[(handle::Server, event::Digest)],
+        actions: &mut Vec<action::Action>,
     ) {
         for (server, digest) in digests {
-            if let Some(server) = self.server(*server) {
-                server.hear(now, from, digest);
+            if let Some(held) = self.server(*server) {
+                held.hear(now, from, digest);
+                self.note(now, *server, actions);
             }
         }
     }
--- a/crates/policy/src/selector/server.rs
+++ b/crates/policy/src/selector/server.rs
@@ -5,7 +5,7 @@
 use monsooncart_types::{instance, map, time};
 
 use crate::selector::belief;
-use crate::{event, handle, inventory, service};
+use crate::{action, event, handle, inventory, service};
 
 /// Cost of an attempt that fails and can be made once more elsewhere; one that cannot costs 1.
 const RETRIED: f64 = 0.3;
@@ -53,6 +53,17 @@
 /// Ends of one kind that are taken from one report of a peer, at most.
 const REPORTED: u32 = 3;
 
+/// Chance of being gray above which a server counts as doubted, for operators.
+const DOUBTED: f64 = 0.5;
+
+/// What a server is held for.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+struct Standing {
+    doubted: bool,
+    closed: bool,
+    replaced: bool,
+}
+
 /// What an attempt is for.
 #[derive(Clone, Copy, Debug)]
 pub struct Errand {
@@ -94,8 +105,11 @@
     /// Ends of attempts since peers were told.
     told: event::Digest,
     changed: bool,
+    /// What operators were told that it is held for.
+    noted: Standing,
 }
 
+/// A report without ends.
 const NOTHING: event::Digest = event::Digest {
     good: 0,
     bad: 0,
@@ -121,6 +135,7 @@
             cold_until: now + spec.cold,
             told: NOTHING,
             changed: false,
+            noted: Standing::default(),
             spec,
         }
     }
@@ -270,13 +285,52 @@
         Some((self.spec.handle, digest))
     }
 
+    /// What was known of it when an attempt was sent.
+    pub fn grounds(&self, now: time::Time) -> action::Grounds {
+        let seen = now.since(self.seen).as_millis();
+        action::Grounds {
+            risk: (self.belief.fails(now) * 1000.0) as u32,
+            evidence_millis: u64::try_from(seen).unwrap_or(u64::MAX),
+            load: self.load(now),
+            slots: self.spec.slots,
+        }
+    }
+
+    /// How what it is held for has turned since operators were told.
+    pub fn turn(&mut self, now: time::Time) -> Option<action::Turn> {
+        let standing = Standing {
+            doubted: self.belief.gray(now) > DOUBTED,
+            closed: self.failures > 0 && now < self.closed_until,
+            replaced: self.replaced,
+        };
+        let before = std::mem::replace(&mut self.noted, standing);
+        match () {
+            () if standing.replaced && !before.replaced => Some(action::Turn::Replaced),
+            () if standing.closed && !before.closed => Some(action::Turn::Unreachable),
+            () if standing.doubted && !before.doubted => Some(action::Turn::Doubted),
+            () if before.doubted && !standing.doubted => Some(action::Turn::Acquitted),
+            () => None,
+        }
+    }
+
+    /// The evidence in words.
+    pub fn evidence(&self, now: time::Time) -> String {
+        format!(
+            "gray with a chance of {:.3}, last evidence {} ms ago, load {} of {} slots",
+            self.belief.gray(now),
+            now.since(self.seen).as_millis(),
+            self.load(now),
+            self.spec.slots,
+        )
+    }
+
     /// What is held of it, for operators.
     pub fn view(&self, now: time::Time) -> service::View {
         let gray = self.belief.gray(now);
         let state = match () {
             () if self.is_out() => "leaving",
             () if now < self.closed_until => "closed",
-            () if gray > 0.5 => "suspect",
+            () if gray > DOUBTED => "suspect",
             () => "active",
         };
         service::View {
@@ -285,12 +339,7 @@
             in_flight: self.in_flight,
             suspicion: (gray * 1000.0) as u32,
             median_millis: 0,
-            evidence: format!(
-                "gray with a chance of {gray:.3}, last evidence {} ms ago, load {} of {} slots",
-                now.since(self.seen).as_millis(),
-                self.load(now),
-                self.spec.slots,
-            ),
+            evidence: self.evidence(now),
         }
     }
 }
--- a/crates/policy/tests/balancer/fake.rs
+++ b/crates/policy/tests/balancer/fake.rs
@@ -350,6 +350,7 @@
                 attempt,
                 server,
                 fresh,
+                ..
             } => self.send(request.0, attempt.0, server.0, fresh),
             action::Action::Refuse { request, refusal } => self.refuse(request.0, refusal),
             action::Action::Cancel(attempt) => {
@@ -376,7 +377,9 @@
                 let event = event::Event::Probe { server, well: true };
                 self.tell(event);
             }
-            action::Action::Blame { .. } | action::Action::Quarantine { .. } => {}
+            action::Action::Blame { .. }
+            | action::Action::Quarantine { .. }
+            | action::Action::Note { .. } => {}
         }
     }
 
--- a/crates/policy/tests/balancer/fixture.rs
+++ b/crates/policy/tests/balancer/fixture.rs
@@ -34,6 +34,8 @@
         slots,
         near: true,
         leaving: false,
+        cold: Duration::ZERO,
+        started_millis: 0,
     }
 }
 
@@ -69,6 +71,7 @@
             attempt,
             server,
             fresh,
+            ..
         } => Some(Sent {
             request,
             attempt,
--- a/crates/policy/tests/balancer/health.rs
+++ b/crates/policy/tests/balancer/health.rs
@@ -327,7 +327,7 @@
     bench.pass(50 * MS);
     bench.tick();
 
-    let digests = monsooncart_policy::service::Policy::digest(&bench.policy, bench.now);
+    let digests = monsooncart_policy::service::Policy::digest(&mut bench.policy, bench.now);
 
     let (_, digest) = digests
         .iter()
--- a/crates/policy/tests/balancer/invariants.rs
+++ b/crates/policy/tests/balancer/invariants.rs
@@ -67,6 +67,7 @@
                 attempt,
                 server,
                 fresh,
+                ..
             } => self.check_send(request, attempt, server, fresh),
             action::Action::Refuse { request, refusal } => self.check_refusal(request, refusal),
             action::Action::Cancel(attempt) => {
--- /dev/null
+++ b/crates/policy/tests/selector/budget.rs
@@ -0,0 +1,59 @@
+//! What retries may add, against a count of every retry.
+
+use std::time::Duration;
+
+use monsooncart_policy::selector::budget::{Budget, Limits};
+use monsooncart_types::time;
+
+const LIMITS: Limits = Limits {
+    share: 0.2,
+    slack: 50.0,
+    window: Duration::from_secs(10),
+};
+
+/// Whether `events` hold the bound in every span of the window that ends at one of them.
+fn holds(requests: &[time::Time], retries: &[time::Time], daemons: f64) -> bool {
+    retries.iter().all(|end| {
+        let within = |at: &&time::Time| **at <= *end && end.since(**at) < LIMITS.window;
+        let count = |events: &[time::Time]| events.iter().filter(within).count() as f64;
+        let bound = LIMITS.share * count(requests) + LIMITS.slack / daemons;
+        count(retries) <= bound
+    })
+}
+
+#[test]
+fn retries_of_all_daemons_together_keep_the_bound_over_any_window() {
+    arbtest::arbtest(|u| {
+        let daemons = 3;
+        let mut requests = Vec::new();
+        let mut retries = Vec::new();
+        let mut budgets = vec![Budget::new(LIMITS); daemons];
+        let mut now = time::Time::from_millis(1000);
+        for _ in 0..400 {
+            now = now + Duration::from_millis(u.int_in_range(0..=120)?);
+            let budget = &mut budgets[u.choose_index(daemons)?];
+            if u.ratio(1, 2)? {
+                budget.arrived(now);
+                requests.push(now);
+            } else if budget.affords(now, 3) {
+                budget.spend(now);
+                retries.push(now);
+            }
+        }
+        assert!(holds(&requests, &retries, 1.0));
+        Ok(())
+    });
+}
+
+#[test]
+fn retries_of_long_ago_are_forgotten() {
+    let mut budget = Budget::new(LIMITS);
+    let start = time::Time::from_millis(1000);
+    while budget.affords(start, 1) {
+        budget.spend(start);
+    }
+
+    let later = start + LIMITS.window + Duration::from_secs(1);
+
+    assert!(budget.affords(later, 1));
+}
--- a/crates/proxy/src/account.rs
+++ b/crates/proxy/src/account.rs
@@ -8,6 +8,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Instant;
 
+use http::HeaderValue;
 use monsooncart_policy::{handle, outcome};
 use monsooncart_types::id;
 
@@ -22,6 +23,8 @@
     claim: Option<claim::Claim>,
     source: Option<payload::Source>,
     exposed: Arc<AtomicBool>,
+    /// Name that the caller gave the request, and the version of the routing that it went by.
+    named: Option<(HeaderValue, u64)>,
 }
 
 impl Account {
@@ -54,9 +57,15 @@
             claim: None,
             source: None,
             exposed: Arc::default(),
+            named: None,
         }
     }
 
+    /// The caller named the request, and a version of the routing decided where it goes.
+    pub fn named(&mut self, name: HeaderValue, routing: u64) {
+        self.named = Some((name, routing));
+    }
+
     /// The request holds a claim.
     pub fn claimed(&mut self, claim: claim::Claim) {
         self.claim = Some(claim);
@@ -89,13 +98,8 @@
     }
 
     /// An attempt ended before an answer was passed on.
-    pub fn ended(&mut self, server: &id::Server, started_millis: u64, end: outcome::End) {
-        self.attempts.push(trace::Attempt {
-            server: server.clone(),
-            started_millis,
-            ended_millis: self.millis(),
-            end: end.to_string(),
-        });
+    pub fn ended(&mut self, attempt: trace::Attempt) {
+        self.attempts.push(attempt);
     }
 
     /// Whether the work may have run; holds once no attempt is alive.
@@ -140,6 +144,38 @@
         self.record.whole = true;
     }
 
+    /// Writes the request's line. Those that were answered are told up to a rate, all others
+    /// always; the queue of the logs bounds both.
+    fn log(&self) {
+        let outcome = self.outcome();
+        let answered = outcome == "answered";
+        if answered && !self.common.samples.admits(self.started) {
+            return;
+        }
+        let record = &self.record;
+        let (name, routing) = match &self.named {
+            Some((name, routing)) => (name.to_str().unwrap_or("unreadable"), *routing),
+            None => ("", 0),
+        };
+        let attempts: Vec<_> = self.attempts.iter().map(ToString::to_string).collect();
+        let refusal = record.refusal.map(|r| r.to_string()).unwrap_or_default();
+        log::info!(
+            request = name,
+            number = record.request.0,
+            service:% = record.service,
+            routing,
+            outcome,
+            refusal,
+            status = record.status.unwrap_or_default(),
+            run:% = record.run,
+            head_ms = record.latency.as_millis(),
+            millis = self.millis(),
+            sent = record.sent,
+            attempts = attempts.join(";");
+            "proxy: request ended"
+        );
+    }
+
     fn outcome(&self) -> &'static str {
         match (&self.record.status, self.record.refusal) {
             (None, _) => "cancelled",
@@ -160,8 +196,12 @@
         if let Some(claim) = self.claim.take() {
             claim.settle(self.record.run, None);
         }
+        self.log();
         let record = &self.record;
-        self.common.metrics.request(&record.service, self.outcome());
+        let seconds = self.started.elapsed().as_secs_f64();
+        self.common
+            .metrics
+            .request(&record.service, self.outcome(), seconds);
         self.common.meter.record(record);
         self.common.traces.push(trace::Trace {
             request: record.request.0,
--- a/crates/proxy/src/common.rs
+++ b/crates/proxy/src/common.rs
@@ -11,7 +11,7 @@
 use tokio::sync::watch;
 
 use crate::lock::lock;
-use crate::{border, clock, decision, hosts, metrics, pool, sizes, trace};
+use crate::{border, clock, decision, hosts, metrics, pool, samples, sizes, trace};
 
 /// What all parts of the request path share.
 pub struct Common {
@@ -37,6 +37,8 @@
     pub anyone: id::Organisation,
     /// How large answers usually are.
     pub sizes: sizes::Sizes,
+    /// Bounds the logs of requests that were answered.
+    pub samples: samples::Samples,
     /// The clock of the decisions.
     pub clock: clock::Clock,
     /// Counters.
@@ -106,6 +108,7 @@
             anyone: ANYONE.parse().expect("it is a name"),
             metrics: parts.metrics,
             sizes: sizes::Sizes::default(),
+            samples: samples::Samples::default(),
             clock: clock::Clock::new(),
             decisions: decision::Ring::default(),
             traces: trace::Ring::default(),
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -42,6 +42,7 @@
 mod problem;
 mod request;
 mod router;
+mod samples;
 mod server;
 mod service;
 mod sizes;
--- a/crates/proxy/src/metrics.rs
+++ b/crates/proxy/src/metrics.rs
@@ -5,7 +5,8 @@
 use monsooncart_policy::outcome;
 use monsooncart_types::id;
 use prometheus::{
-    Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry, core::Collector,
+    Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
+    core::Collector,
 };
 
 /// Upper bounds of the latency buckets, in seconds.
@@ -17,6 +18,7 @@
 #[derive(Debug)]
 pub struct Metrics {
     requests: IntCounterVec,
+    durations: HistogramVec,
     attempts: IntCounterVec,
     /// Refusals before a service was found, by status.
     pub rejections: IntCounterVec,
@@ -69,6 +71,17 @@
                 "Requests that ended, by service and outcome.",
                 &["service", "outcome"],
             )?,
+            durations: registered(
+                registry,
+                HistogramVec::new(
+                    HistogramOpts::new(
+                        "monsooncart_request_seconds",
+                        "Time from a request's arrival to its end, by service and outcome.",
+                    )
+                    .buckets(LATENCY_BUCKETS.to_vec()),
+                    &["service", "outcome"],
+                ),
+            )?,
             attempts: counters(
                 "monsooncart_attempts_total",
                 "Attempts that ended, by service and end.",
@@ -125,7 +138,10 @@
     }
 
     /// Counts a request that ended.
-    pub fn request(&self, service: &id::Service, outcome: &str) {
+    pub fn request(&self, service: &id::Service, outcome: &str, seconds: f64) {
+        self.durations
+            .with_label_values(&[service.as_str(), outcome])
+            .observe(seconds);
         self.requests
             .with_label_values(&[service.as_str(), outcome])
             .inc();
--- a/crates/proxy/src/pass.rs
+++ b/crates/proxy/src/pass.rs
@@ -7,18 +7,19 @@
 use futures_util::future::{AbortHandle, Abortable, BoxFuture};
 use futures_util::stream::FuturesUnordered;
 use http::{HeaderValue, StatusCode, header as names};
-use monsooncart_policy::{event, handle, outcome};
+use monsooncart_policy::{action, event, handle, outcome};
 use monsooncart_types::map;
 use tokio::time::{Instant, sleep_until};
 
 use crate::{
     account, activity, answer, attempt, body, common, decision, exchange, header, payload, problem,
-    server, service, sizes,
+    server, service, sizes, trace,
 };
 
 /// What an attempt came to.
 struct Done {
     id: handle::Attempt,
+    grounds: action::Grounds,
     server: Arc<server::Server>,
     started_millis: u64,
     result: Result<(exchange::Reply, attempt::Attempt), Failed>,
@@ -103,12 +104,12 @@
                             retry_after: None,
                         });
                     }
-                    service::Command::Send { attempt, server, fresh } => {
+                    service::Command::Send { attempt, server, fresh, grounds } => {
                         queued.end();
                         self.note_retry(&server);
                         let (handle, registration) = AbortHandle::new_pair();
                         handles.insert(attempt, handle);
-                        let attempt = self.attempt(attempt, server, fresh);
+                        let attempt = self.attempt(attempt, server, fresh, grounds);
                         attempts.push(Abortable::new(attempt, registration));
                     }
                     service::Command::Cancel(attempt) => {
@@ -160,6 +161,7 @@
         id: handle::Attempt,
         server: Arc<server::Server>,
         fresh: bool,
+        grounds: action::Grounds,
     ) -> BoxFuture<'static, Done> {
         self.account.began(&server.spec.name);
         let started_millis = self.account.millis();
@@ -208,6 +210,7 @@
             };
             Done {
                 id,
+                grounds,
                 server,
                 started_millis,
                 result,
@@ -222,7 +225,13 @@
             Err(failed) => failed.end,
         };
         let name = &done.server.spec.name;
-        self.account.ended(name, done.started_millis, end);
+        self.account.ended(trace::Attempt {
+            server: name.clone(),
+            started_millis: done.started_millis,
+            ended_millis: self.account.millis(),
+            end: end.to_string(),
+            grounds: done.grounds.to_string(),
+        });
         match done.result {
             Ok((reply, attempt)) => Some(Answered {
                 reply,
--- a/crates/proxy/src/request.rs
+++ b/crates/proxy/src/request.rs
@@ -127,6 +127,9 @@
             contract.organisation.clone(),
             name.clone(),
         );
+        if let Some(name) = &contract.name {
+            account.named(name.clone(), contract.routing);
+        }
         let stall = shared.common.limits().body_timeout.0;
         let limit = contract.body_limit;
         let source = match source::take(incoming, limit, contract.until, stall).await {
--- a/crates/proxy/src/request/contract.rs
+++ b/crates/proxy/src/request/contract.rs
@@ -34,6 +34,8 @@
     pub objective: Option<Duration>,
     /// Names the route for the sizes of its answers.
     pub sizes: Option<sizes::Key>,
+    /// Version of the routing that names the contract; 0 where a key does.
+    pub routing: u64,
     /// Name that the caller gave the request.
     pub name: Option<HeaderValue>,
     /// Longest time to the head of its answer.
@@ -157,6 +159,7 @@
         priority: 0,
         objective: None,
         sizes: None,
+        routing: 0,
         name: None,
         timeout,
         until: Instant::now() + timeout,
@@ -202,6 +205,7 @@
         priority: route.priority,
         objective: route.objective.map(|objective| objective.0),
         sizes: Some(sizes::Key::new(route)),
+        routing: routing.version,
         name: request.headers().get(&names.request).cloned(),
         timeout,
         until: Instant::now() + timeout,
--- a/crates/proxy/src/service.rs
+++ b/crates/proxy/src/service.rs
@@ -30,6 +30,8 @@
         server: Arc<server::Server>,
         /// Whether only a new connection will do.
         fresh: bool,
+        /// What was known of the server.
+        grounds: action::Grounds,
     },
     /// An attempt is given up.
     Cancel(handle::Attempt),
@@ -294,6 +296,7 @@
                 attempt,
                 server,
                 fresh,
+                grounds,
             } => {
                 let server = self.current.load().servers.get(&server).cloned();
                 let waiting = state.waiting.get(&request);
@@ -302,6 +305,7 @@
                         attempt,
                         server,
                         fresh,
+                        grounds,
                     };
                     waiting.send(command).is_ok()
                 });
@@ -383,6 +387,15 @@
                     decide(decision::Kind::Condemn, name, evidence);
                 }
             }
+            action::Action::Note {
+                server,
+                turn,
+                evidence,
+            } => {
+                if let Some(name) = self.server_name(server) {
+                    log::info!(service:% = self.name, server:% = name, turn:%, evidence; "health: server is held for something else");
+                }
+            }
             action::Action::Probe(server) => self.probe(server),
             _ => {}
         }
--- a/crates/proxy/src/trace.rs
+++ b/crates/proxy/src/trace.rs
@@ -22,6 +22,25 @@
     pub ended_millis: u64,
     /// How it ended.
     pub end: String,
+    /// What was known of the server when it was chosen.
+    #[serde(skip_serializing_if = "String::is_empty")]
+    pub grounds: String,
+}
+
+impl std::fmt::Display for Attempt {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        let Self {
+            server,
+            started_millis,
+            ended_millis,
+            end,
+            grounds,
+        } = self;
+        write!(
+            f,
+            "{server}@{started_millis}-{ended_millis}ms:{end}({grounds})"
+        )
+    }
 }
 
 /// What became of a request.
--- a/crates/proxy/tests/all/directed.rs
+++ b/crates/proxy/tests/all/directed.rs
@@ -70,7 +70,7 @@
         }
     }
 
-    fn digest(&self, _: time::Time) -> Vec<(handle::Server, event::Digest)> {
+    fn digest(&mut self, _: time::Time) -> Vec<(handle::Server, event::Digest)> {
         Vec::new()
     }
 
@@ -93,6 +93,7 @@
         attempt: handle::Attempt(u64::from(*server)),
         server: handle::Server(*server),
         fresh,
+        grounds: action::Grounds::default(),
     };
     servers.iter().map(send).collect()
 }
@@ -279,6 +280,7 @@
             attempt: handle::Attempt(9),
             server: handle::Server(0),
             fresh: false,
+            grounds: action::Grounds::default(),
         }],
         _ => Vec::new(),
     });
--- a/crates/proxy/tests/all/fixture.rs
+++ b/crates/proxy/tests/all/fixture.rs
@@ -105,6 +105,8 @@
         slots: 64,
         connections: 330,
         leaving: false,
+        cold: span::Span::default(),
+        started_millis: 0,
     }
 }
 
--- a/crates/testbed/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -10,3 +10,5 @@
 pub mod fault;
 pub mod local;
 pub mod platform;
+pub mod registry;
+pub mod worker;
--- a/crates/testbed/src/local/plan.rs
+++ b/crates/testbed/src/local/plan.rs
@@ -98,7 +98,7 @@
             slots: self.slots,
             connections: 330,
             leaving: false,
-            cold: monsooncart_types::span::Span::default(),
+            cold: span::Span::default(),
             started_millis: 0,
         })
     }
--- /dev/null
+++ b/crates/testbed/src/registry.rs
@@ -0,0 +1,177 @@
+//! A stand-in for the store of the users' platform, in its published protocol.
+//!
+//! It lists, watches and reads objects by kind and name. Tests write through its methods, and set
+//! the faults that it shows.
+
+mod state;
+
+use std::convert::Infallible;
+use std::io;
+use std::net;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::server::conn::http1;
+use hyper::service;
+use hyper_util::rt;
+use serde_json::{Value, json};
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+
+pub use state::Object;
+
+type Answer = http::Response<Full<Bytes>>;
+
+/// Longest wait of a watch.
+const MAX_WAIT: Duration = Duration::from_secs(30);
+
+/// What the store does wrong.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Fault {
+    /// Nothing.
+    #[default]
+    None,
+    /// It refuses all calls with 503.
+    Busy,
+    /// It takes calls and never answers.
+    Silent,
+}
+
+/// The store.
+#[derive(Debug)]
+pub struct Registry {
+    state: Mutex<state::State>,
+    changed: watch::Sender<u64>,
+    fault: watch::Sender<Fault>,
+}
+
+impl Registry {
+    /// An empty store, of whose listings a page holds `page` objects.
+    #[must_use]
+    pub fn new(page: usize) -> Arc<Self> {
+        Arc::new(Self {
+            state: Mutex::new(state::State::new(page)),
+            changed: watch::Sender::new(0),
+            fault: watch::Sender::new(Fault::None),
+        })
+    }
+
+    fn state(&self) -> MutexGuard<'_, state::State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn tell(&self) {
+        self.changed.send_modify(|number| *number += 1);
+    }
+
+    /// Writes the content of an object, whatever it is.
+    pub fn put(&self, kind: &str, name: &str, spec: &Value) {
+        self.state().put(kind, name, spec);
+        self.tell();
+    }
+
+    /// Removes an object.
+    pub fn delete(&self, kind: &str, name: &str) {
+        self.state().delete(kind, name);
+        self.tell();
+    }
+
+    /// Forgets the history: watches from before are told that it is gone.
+    pub fn compact(&self) {
+        self.state().compact();
+        self.tell();
+    }
+
+    /// Sets what the store does wrong; waiting watches are cut.
+    pub fn set(&self, fault: Fault) {
+        self.fault.send_replace(fault);
+    }
+
+    /// Serves a bound listener in the background.
+    ///
+    /// # Errors
+    ///
+    /// Where the listener has no address.
+    pub fn serve(self: &Arc<Self>, listener: TcpListener) -> io::Result<net::SocketAddr> {
+        let address = listener.local_addr()?;
+        let registry = self.clone();
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                let registry = registry.clone();
+                tokio::spawn(async move {
+                    let answer = service::service_fn(|request| {
+                        let registry = registry.clone();
+                        async move { Ok::<_, Infallible>(registry.answer(&request).await) }
+                    });
+                    let io = rt::TokioIo::new(stream);
+                    let served = http1::Builder::new().serve_connection(io, answer).await;
+                    if let Err(error) = served {
+                        log::debug!(error:%; "registry: connection broke");
+                    }
+                });
+            }
+        });
+        Ok(address)
+    }
+
+    async fn answer(&self, request: &http::Request<hyper::body::Incoming>) -> Answer {
+        let fault = *self.fault.borrow();
+        match fault {
+            Fault::None => {}
+            Fault::Busy => return answer(503, &json!({"error": "busy"})),
+            Fault::Silent => std::future::pending().await,
+        }
+        let path = request.uri().path();
+        let rest = path.strip_prefix("/api/objects/").unwrap_or_default();
+        let query = request.uri().query().unwrap_or_default();
+        let parameter = |name: &str| {
+            let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+            pairs
+                .find(|(n, _)| *n == name)
+                .map(|(_, value)| value.to_owned())
+        };
+        match (rest.split_once('/'), parameter("watch")) {
+            (Some((kind, name)), _) => match self.state().get(kind, name) {
+                Some(object) => answer(200, &object),
+                None => answer(404, &json!({"error": "no such object"})),
+            },
+            (None, None) => {
+                let after = parameter("after").unwrap_or_default();
+                answer(200, &self.state().list(rest, &after))
+            }
+            (None, Some(since)) => {
+                let wait = parameter("wait_ms").and_then(|wait| wait.parse().ok());
+                let wait = Duration::from_millis(wait.unwrap_or_default()).min(MAX_WAIT);
+                let since = since.parse().unwrap_or_default();
+                self.watch(rest, since, wait).await
+            }
+        }
+    }
+
+    async fn watch(&self, kind: &str, since: u64, wait: Duration) -> Answer {
+        let mut changed = self.changed.subscribe();
+        let mut fault = self.fault.subscribe();
+        let end = tokio::time::Instant::now() + wait;
+        loop {
+            match self.state().changes(kind, since) {
+                None => return answer(410, &json!({"error": "history is gone"})),
+                Some(page) if page["events"] != json!([]) => return answer(200, &page),
+                Some(page) if tokio::time::Instant::now() >= end => return answer(200, &page),
+                Some(_) => {}
+            }
+            tokio::select! {
+                _ = changed.changed() => {}
+                _ = fault.changed() => return answer(503, &json!({"error": "cut off"})),
+                () = tokio::time::sleep_until(end) => {}
+            }
+        }
+    }
+}
+
+fn answer(status: u16, body: &Value) -> Answer {
+    let mut answer = http::Response::new(Full::new(Bytes::from(body.to_string())));
+    *answer.status_mut() = http::StatusCode::from_u16(status).unwrap_or_default();
+    answer
+}
--- a/crates/wire/tests/codec.rs
+++ b/crates/wire/tests/codec.rs
@@ -278,6 +278,8 @@
         news::News::Configuration {
             key: object::Key::Service(service()),
             version: 3,
+            value: None,
+            holder: ([10, 0, 0, 1], 7000).into(),
         },
         news::News::Evidence {
             service: service(),
--- a/src/commands/explain.rs
+++ b/src/commands/explain.rs
@@ -8,6 +8,7 @@
 
 pub mod ejection;
 mod evidence;
+pub mod log;
 pub mod request;
 pub mod server;
 
@@ -41,6 +42,8 @@
     /// Shows which servers of a service are out of service, why, and what the floor still allows:
     /// evidence, tokens, and what was decided otherwise.
     Ejection(ejection::Arguments),
+    /// Shows what daemons logged of a request or a server, in the order of time.
+    Log(log::Arguments),
 }
 
 impl Arguments {
@@ -50,6 +53,7 @@
             Command::Server(arguments) => arguments.run().await,
             Command::Request(arguments) => arguments.run().await,
             Command::Ejection(arguments) => arguments.run().await,
+            Command::Log(arguments) => arguments.run().await,
         }
     }
 }
--- a/src/main.rs
+++ b/src/main.rs
@@ -3,6 +3,7 @@
 use std::process;
 
 use clap::Parser;
+use monsooncart_daemon::logging;
 
 mod admin;
 mod commands;
@@ -37,11 +38,24 @@
     Drain(commands::drain::Arguments),
 }
 
+/// Daemons log to standard output; the other commands keep it for what they print.
+fn start_logs(command: &Command) -> std::io::Result<()> {
+    if let Command::Run(_) = command {
+        return logging::start();
+    }
+    let environment = env_logger::Env::default().default_filter_or("info,tarpc=warn");
+    env_logger::Builder::from_env(environment)
+        .try_init()
+        .map_err(std::io::Error::other)
+}
+
 #[tokio::main]
 async fn main() -> process::ExitCode {
-    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info,tarpc=warn"))
-        .init();
     let arguments = Arguments::parse();
+    if let Err(error) = start_logs(&arguments.command) {
+        eprintln!("logs: {error}");
+        return exit::Code::Failure.into();
+    }
     let code = match arguments.command {
         Command::Run(arguments) => arguments.run().await,
         Command::Config(arguments) => arguments.run().await,
@@ -51,5 +65,6 @@
         Command::Report(arguments) => arguments.run().await,
         Command::Drain(arguments) => arguments.run().await,
     };
+    logging::flush();
     code.into()
 }
--- a/tests/all/fixture.rs
+++ b/tests/all/fixture.rs
@@ -3,6 +3,7 @@
 pub mod backend;
 pub mod daemon;
 pub mod fleet;
+pub mod gateway;
 pub mod http;
 pub mod process;
 pub mod until;
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -8,6 +8,7 @@
 mod explain;
 mod fixture;
 mod floor;
+mod gateway;
 mod leaving;
 mod once;
 mod path;
