Choose entry sets by what daemons can carry

Ruled out: the news of the configuration (it was in force in time on daemons with processor time left). Change: members say what they can carry, the less of processor and link; the fewest of the strongest that carry 0.4 of their data centre.

--- a/crates/cluster/tests/engine/fixture.rs
+++ b/crates/cluster/tests/engine/fixture.rs
@@ -123,6 +123,7 @@
         region: "attica".parse().unwrap(),
         state: member::State::Alive,
         leaving: false,
+        capacity: 1000,
     }
 }
 
--- a/crates/config/src/parse/settings.rs
+++ b/crates/config/src/parse/settings.rs
@@ -37,8 +37,7 @@
 const SEEDS: &str = "a list of addresses of other daemons";
 
 /// Expected where a gateway is.
-const GATEWAY: &str =
-    "a gateway, an object with directory, readiness, grace, lifetime_max and retries";
+const GATEWAY: &str = "a gateway, an object with directory, readiness, cores, link_mbps, grace, lifetime_max and retries";
 
 /// Expected where the bounds of retries are.
 const RETRIES: &str = "bounds of retries, an object with share, slack and window";
@@ -181,6 +180,8 @@
         "directory",
         "readiness",
         "metrics",
+        "cores",
+        "link_mbps",
         "seeds_port",
         "grace",
         "lifetime_max",
@@ -193,6 +194,10 @@
         Some(_) => Some(listener(reader, &fields, "metrics", LISTENER, listeners)?),
         None => None,
     };
+    let cores = reader.required(&fields, "cores", AMOUNT);
+    let cores = cores.and_then(|node| reader.amount(&node, AMOUNT));
+    let link = reader.required(&fields, "link_mbps", AMOUNT);
+    let link = link.and_then(|node| reader.amount(&node, AMOUNT));
     let port = fields.get("seeds_port");
     let port = match port {
         Some(node) => Some(port_of(reader, &node)?),
@@ -208,6 +213,8 @@
         directory: directory?,
         readiness: readiness?,
         metrics,
+        cores: cores?,
+        link_mbps: link?,
         seeds_port: port,
         grace: grace?,
         lifetime_max: lifetime?,
--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -49,6 +49,10 @@
     pub readiness: net::SocketAddr,
     /// Listener for those who collect metrics, where the `admin` one is not for them.
     pub metrics: Option<net::SocketAddr>,
+    /// Share of a core that the daemon may use.
+    pub cores: f64,
+    /// Bandwidth of the VM's link, in megabits a second.
+    pub link_mbps: f64,
     /// Port of the `peers` listener of the seeds, where `seeds` names another one.
     pub seeds_port: Option<u16>,
     /// Time from the request to stop to the end of the process.
--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -59,6 +59,9 @@
 /// rest.
 const LEAVE_SHARE: f64 = 0.5;
 
+/// Bandwidth that goes with a core, in megabits a second: some 700 requests a second of 70 KB.
+const LINK_PER_CORE: f64 = 400.0;
+
 /// Longest time to open a connection to a server in the same region.
 const CONNECT: Duration = Duration::from_millis(300);
 
@@ -153,6 +156,15 @@
     }
 }
 
+/// What the daemon can carry, in thousandths of a core: the less of its processor and its link.
+#[must_use]
+pub fn capacity(settings: &settings::Settings) -> u32 {
+    let cores = settings.gateway.as_ref().map_or(1.0, |gateway| {
+        gateway.cores.min(gateway.link_mbps / LINK_PER_CORE)
+    });
+    (cores * 1000.0) as u32
+}
+
 /// The region that membership is kept in: the data centre, as bytes between those cost the most.
 #[must_use]
 pub fn scope(settings: &settings::Settings) -> id::Region {
--- a/crates/daemon/src/gateway/entries.rs
+++ b/crates/daemon/src/gateway/entries.rs
@@ -1,8 +1,9 @@
 //! Which daemons the callers of a data centre are to use.
 //!
-//! A few daemons of each data centre, chosen by rendezvous hashing: there the load, the
-//! connections and the evidence of its servers meet. A daemon that misses probes is left out at
-//! once, unless too few are left without it.
+//! A few daemons of each data centre: there the load, the connections and the evidence of its
+//! servers meet. Callers choose among them evenly, so that as many as the least of them can carry
+//! count; the strongest go first, and rendezvous hashing orders those alike. A daemon that misses
+//! probes is left out at once, unless too few are left without it.
 
 use std::sync::Arc;
 
@@ -11,6 +12,9 @@
 use monsooncart_policy::rank;
 use monsooncart_types::{id, map};
 
+/// Part of what a data centre's daemons can carry that its entry set is to be able to.
+const SHARE: f64 = 0.4;
+
 /// Key by which daemons are ranked.
 const KEY: &[u8] = b"entries";
 
@@ -41,15 +45,15 @@
             let centre = centres.entry(member.data_centre.clone()).or_default();
             centre.push(member);
         }
-        let choose = |members: Vec<&member::Member>| {
+        let choose = |members: &[&member::Member]| {
             let alive = members.iter().filter(|m| m.state == member::State::Alive);
-            let mut chosen = rank::top(KEY, alive.copied(), self.count);
-            if chosen.is_empty() {
-                chosen = rank::top(KEY, members, self.count);
-            }
-            chosen.into_iter().cloned().collect()
+            let alive: Vec<_> = alive.copied().collect();
+            let candidates = if alive.is_empty() { members } else { &alive };
+            self.choose(candidates)
         };
-        let sets = centres.into_iter().map(|(c, members)| (c, choose(members)));
+        let sets = centres
+            .into_iter()
+            .map(|(c, members)| (c, choose(&members)));
         let sets: Sets = sets.collect();
         if sets == **self.sets.load() {
             return false;
@@ -61,6 +65,21 @@
         true
     }
 
+    /// The fewest of the strongest daemons that can carry their share between them.
+    fn choose(&self, candidates: &[&member::Member]) -> Vec<member::Member> {
+        let all = candidates.iter().copied();
+        let mut ranked = rank::top(KEY, all, candidates.len());
+        ranked.sort_by_key(|m| std::cmp::Reverse(m.capacity));
+        let total: f64 = ranked.iter().map(|m| f64::from(m.capacity)).sum();
+        let carries = |(place, m): (usize, &&member::Member)| {
+            (place + 1) as f64 * f64::from(m.capacity) >= total * SHARE
+        };
+        let count = ranked.iter().enumerate().position(carries);
+        let count = count.map_or(ranked.len(), |place| place + 1);
+        ranked.truncate(count.max(self.count));
+        ranked.into_iter().cloned().collect()
+    }
+
     /// The daemons for callers of a data centre; those of all where it has none or is not known.
     #[must_use]
     pub fn near(&self, data_centre: Option<&id::DataCentre>) -> Vec<member::Member> {
--- a/crates/daemon/src/parts.rs
+++ b/crates/daemon/src/parts.rs
@@ -193,6 +193,7 @@
             region: gateway::scope(settings),
             state: member::State::Alive,
             leaving: false,
+            capacity: gateway::capacity(settings),
         }
     }
 }
--- a/crates/daemon/tests/all/operator.rs
+++ b/crates/daemon/tests/all/operator.rs
@@ -21,6 +21,7 @@
         region: "attica".parse().expect("name"),
         state: member::State::Alive,
         leaving: false,
+        capacity: 1000,
     }
 }
 
--- a/crates/policy/src/membership/member.rs
+++ b/crates/policy/src/membership/member.rs
@@ -71,6 +71,8 @@
     pub state: State,
     /// Whether it is on its way out; sticky for the instance.
     pub leaving: bool,
+    /// What it can carry, in thousandths of a core; daemons of one deployment compare.
+    pub capacity: u32,
 }
 
 impl Member {
--- a/crates/policy/tests/membership/network.rs
+++ b/crates/policy/tests/membership/network.rs
@@ -62,6 +62,7 @@
         region: region.parse().unwrap(),
         state: member::State::Alive,
         leaving: false,
+        capacity: 1000,
     }
 }
 
--- a/crates/wire/tests/codec.rs
+++ b/crates/wire/tests/codec.rs
@@ -53,6 +53,7 @@
         region: "a".repeat(100).parse().unwrap(),
         state: member::State::Alive,
         leaving: true,
+        capacity: 1000,
     }
 }
 
