--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod engine;
 pub mod hosts;
 pub mod pool;
+pub mod split;
 pub mod trace;
 
 mod account;
@@ -47,5 +48,5 @@
 mod service;
 mod sizes;
 mod socket;
-mod split;
+
 mod stall;
--- a/crates/proxy/src/split.rs
+++ b/crates/proxy/src/split.rs
@@ -1,7 +1,7 @@
 //! Divides the requests of a route over its services by weight.
 //!
 //! Each request goes to the service that is owed most, so that any run of requests is divided as
-//! the weights say, to within one request a service.
+//! the weights say, to within about a request a service.
 
 use std::sync::Mutex;
 
