--- a/benches/entries.rs
+++ b/benches/entries.rs
@@ -38,6 +38,7 @@
         region: region(n),
         state: member::State::Alive,
         leaving: false,
+        capacity: 1000,
     };
     (0..DAEMONS).map(member).collect()
 }
--- a/crates/cluster/examples/cost.rs
+++ b/crates/cluster/examples/cost.rs
@@ -213,6 +213,7 @@
         region: format!("region-{region}").parse().expect("a name"),
         state: member::State::Alive,
         leaving: false,
+        capacity: 1000,
     };
     let listener = Arc::new(Listener::default());
     let config = config::Config::new(member, local, listener.clone());
--- a/crates/daemon/tests/entries.rs
+++ b/crates/daemon/tests/entries.rs
@@ -26,6 +26,7 @@
         region: name(region),
         state: member::State::Alive,
         leaving: false,
+        capacity: 1000,
     }
 }
 
--- a/crates/policy/benches/membership.rs
+++ b/crates/policy/benches/membership.rs
@@ -26,6 +26,7 @@
         region: region.parse().expect("a name"),
         state: member::State::Alive,
         leaving: false,
+        capacity: 1000,
     }
 }
 
--- a/crates/policy/src/selector.rs
+++ b/crates/policy/src/selector.rs
@@ -2,7 +2,7 @@
 //!
 //! For services whose servers turn gray for a few seconds at a time, many at once, and whose
 //! floor leaves no room to take them out: no server is ejected. Each attempt goes where it costs
-//! the least, as [`server::Server::cost`] has it: by the chance that it fails, the wait, the way
+//! the least, as `server::Server::cost` has it: by the chance that it fails, the wait, the way
 //! between data centres. Requests that may run again are the scouts: they go where evidence has
 //! grown old, and once more elsewhere where they fail. Requests that may not run again go where
 //! a success was seen last.
