--- a/crates/policy/src/selector.rs
+++ b/crates/policy/src/selector.rs
@@ -523,6 +523,8 @@
             outcome::End::Timeout => outcome::Reason::Timeout,
             _ if pending.unknown && !arrival.repeatable => outcome::Reason::Unknown,
             outcome::End::Shed { .. } => outcome::Reason::Overload,
+            // Nothing was run: the caller is told so, and when to come back.
+            _ if !pending.unknown => outcome::Reason::NoServer,
             _ => outcome::Reason::Exhausted,
         };
         self.refuse(request, reason, actions);
--- a/crates/policy/src/selector/budget.rs
+++ b/crates/policy/src/selector/budget.rs
@@ -11,9 +11,13 @@
 /// Slices that the span is counted in.
 const SLICES: u32 = 20;
 
-/// Part of the bound that is used, as daemons count their own requests at other moments than
+/// Part of the share that is used, as daemons count their own requests at other moments than
 /// servers receive them.
-const USED: f64 = 0.8;
+const SHARE_USED: f64 = 0.8;
+
+/// Part of the slack that is used: a daemon that starts anew has forgotten what it spent, and all
+/// may start anew within one window.
+const SLACK_USED: f64 = 0.4;
 
 /// The bound over all daemons.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -76,9 +80,9 @@
         self.slice(now);
         let requests: u32 = self.slices.iter().map(|s| s.requests).sum();
         let retries: u32 = self.slices.iter().map(|s| s.retries).sum();
-        let slack = self.limits.slack / f64::from(daemons.max(1));
-        let bound = (self.limits.share * f64::from(requests) + slack) * USED;
-        f64::from(retries + 1) <= bound
+        let slack = SLACK_USED * self.limits.slack / f64::from(daemons.max(1));
+        let share = SHARE_USED * self.limits.share * f64::from(requests);
+        f64::from(retries + 1) <= share + slack
     }
 
     fn slice(&mut self, now: time::Time) -> &mut Slice {
--- a/crates/policy/tests/selector/budget.rs
+++ b/crates/policy/tests/selector/budget.rs
@@ -45,6 +45,23 @@
     });
 }
 
+#[test]
+fn daemons_that_all_start_anew_within_a_window_keep_the_bound_together() {
+    let now = time::Time::from_millis(1000);
+    let mut spent = 0;
+    for _runs in 0..2 {
+        let mut budgets = vec![Budget::new(LIMITS); 3];
+        for budget in &mut budgets {
+            while budget.affords(now, 3) {
+                budget.spend(now);
+                spent += 1;
+            }
+        }
+    }
+
+    assert!(f64::from(spent) <= LIMITS.slack, "{spent}");
+}
+
 #[test]
 fn retries_of_long_ago_are_forgotten() {
     let mut budget = Budget::new(LIMITS);
--- a/crates/proxy/src/request/contract.rs
+++ b/crates/proxy/src/request/contract.rs
@@ -47,6 +47,13 @@
 /// Servers that one request is sent to, at most, where its route does not say.
 const ATTEMPTS: u32 = 4;
 
+/// Time for the final answer to reach a caller before it leaves, where that is not a large part of
+/// its deadline.
+const ANSWER_TIME: Duration = Duration::from_millis(100);
+
+/// Largest part of a deadline that is left for the answer's way, as a divisor.
+const ANSWER_PART: u32 = 10;
+
 /// Longest time that a caller is kept waiting where neither its route nor it says.
 const TIMEOUT: Duration = Duration::from_secs(60);
 
@@ -192,6 +199,7 @@
     let route = snapshot.route(host, path).ok_or_else(unknown)?;
     let service = shared.splitter.next(route).ok_or_else(unknown)?;
     let left = header::number(request.headers(), &names.deadline).map(Duration::from_millis);
+    let left = left.map(|left| left.saturating_sub(ANSWER_TIME.min(left / ANSWER_PART)));
     let timeout = route.timeout.map(|timeout| timeout.0);
     let timeout = timeout.into_iter().chain(left).min().unwrap_or(TIMEOUT);
     Ok(Contract {
--- a/tests/all/gateway.rs
+++ b/tests/all/gateway.rs
@@ -361,3 +361,35 @@
     let reply = gateway.daemons[0].send("GET", "/read/x", "after").await;
     assert_eq!(reply.expect("answered").status, 200);
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_error_that_is_held_reaches_the_caller_before_its_deadline() {
+    let gateway = Gateway::start(1, 2).await;
+    let mut slow = gateway::rule("/pull/", "download", gateway::SERVICE);
+    slow["action"] = json!({"backend": gateway::SERVICE, "attempts": 2});
+    let mut rules = gateway::rules();
+    rules.push(slow);
+    gateway
+        .registry
+        .put("config", "main", &gateway::configuration(5, &rules));
+    until::holds("new route holds", || async {
+        let reply = gateway.daemons[0].send("GET", "/pull/x", "first").await;
+        reply.is_ok_and(|reply| reply.status == 200)
+    })
+    .await;
+    // One server falls silent and the other one fails.
+    gateway.workers[0].delay(Duration::from_secs(60));
+    gateway.workers[1].set(worker::Mode::Errors);
+    // The deadline that the fixture's callers state.
+    let deadline = Duration::from_millis(4000);
+
+    for number in 0..4 {
+        let id = format!("held-{number}");
+        let send = gateway.daemons[0].send("GET", "/pull/x", &id);
+        let reply = tokio::time::timeout(deadline, send).await;
+
+        let reply = reply.expect("an answer before the caller leaves");
+        let status = reply.expect("a whole answer").status;
+        assert!(status >= 500, "{status}");
+    }
+}
