--- a/crates/testbed/src/caller/report.rs
+++ b/crates/testbed/src/caller/report.rs
@@ -1,6 +1,6 @@
 //! What a caller saw, and what the backend servers' logs say to it.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::time::Duration;
 
 use hdrhistogram::Histogram;
@@ -102,6 +102,22 @@
         self.doubled = Some(doubled.count() as u64);
         self.falsely_not_run = Some(falsely.count() as u64);
     }
+
+    /// Lost unrepeatable work that no fleet could have kept from a server that fell silent.
+    ///
+    /// `silent` has the server's starts from its first silence on. Within [`SLOW`] times the 99th
+    /// percentile silence is no sign; what the server took later is not counted.
+    #[must_use]
+    pub fn unforeseeable(&self, silent: &[starts::Start]) -> u64 {
+        let Some(first) = silent.first() else {
+            return 0;
+        };
+        let until = first.at_millis + (self.latency.p99_millis * SLOW) as u64;
+        let early = silent.iter().filter(|start| start.at_millis <= until);
+        let early: HashSet<&str> = early.map(|start| start.id.as_str()).collect();
+        let lost = self.works.iter().filter(|w| w.fate == Fate::Lost);
+        lost.filter(|w| early.contains(w.id.as_str())).count() as u64
+    }
 }
 
 /// Counts while a caller runs.
@@ -158,6 +174,9 @@
     }
 }
 
+/// Times the 99th percentile from which an answer is slow beyond doubt.
+const SLOW: f64 = 3.0;
+
 /// Largest latency that is told apart, in microseconds.
 const LATENCY_MAX_MICROS: u64 = 600_000_000;
 
