Weigh a first attempt with the one that may follow; a 504 is no doubt

Cause 2: 30 of 346 media pulls failed; a large answer was sought at the one near server though that was held for gray (risk 0.74), since a failed attempt was reckoned at 0.3 whether or not a retry could be had and wherever it would have to go. Ruled out: stale evidence alone (most had evidence under 2 s old). Change: a server that ran out of the request's time is at most slow; the cost of a first attempt is its chance to fail times the cost of the best second one; nothing is scouted once retries are spent.

--- a/crates/policy/src/selector.rs
+++ b/crates/policy/src/selector.rs
@@ -14,6 +14,7 @@
 pub mod belief;
 pub mod budget;
 mod config;
+mod cost;
 mod flight;
 mod server;
 
@@ -30,6 +31,9 @@
 /// Lowest status of an answer that counts as an error.
 const ERROR: u16 = 500;
 
+/// Status of a server that ran out of the time that it was told, which says that it works.
+const EXPIRED: u16 = 504;
+
 /// Part of the objective after which a repeatable request is sent to a second server.
 const HEDGE: f64 = 0.5;
 
@@ -55,6 +59,17 @@
 /// the same one.
 const EQUAL: f64 = 0.01;
 
+/// The least and the second least of some costs; infinite where there are too few.
+fn least_two(costs: impl Iterator<Item = f64>) -> (f64, f64) {
+    costs.fold((f64::INFINITY, f64::INFINITY), |(least, second), cost| {
+        if cost < least {
+            (cost, least)
+        } else {
+            (least, second.min(cost))
+        }
+    })
+}
+
 /// A request without an end.
 #[derive(Clone, Debug)]
 struct Pending {
@@ -241,41 +256,54 @@
     }
 
     /// The server that costs the least; at random between those that cost about the same.
+    ///
+    /// A request that can be sent once more elsewhere is weighed with the best server for that.
     fn choose(&mut self, now: time::Time, pending: &Pending) -> Option<usize> {
         let arrival = &pending.arrival;
         let left = arrival.attempts.saturating_sub(pending.tried.len() as u32);
         if left == 0 {
             return None;
         }
+        let costs = self.costs(now, pending);
+        let first = arrival.repeatable && left > 1 && pending.tried.is_empty();
+        let first = first && self.budget.affords(now, self.daemons);
+        let (best, second) = least_two(costs.iter().map(|(_, cost)| cost.last()));
+        let total = |cost: &cost::Cost| {
+            if !first {
+                return cost.last();
+            }
+            let is_best = cost.last() <= best;
+            cost.first(if is_best { second } else { best })
+        };
+        let totals: Vec<(usize, f64)> = costs.iter().map(|(p, cost)| (*p, total(cost))).collect();
+        let (least, _) = least_two(totals.iter().map(|(_, total)| *total));
+        let equal: Vec<usize> = totals
+            .iter()
+            .filter(|(_, total)| *total <= least + EQUAL)
+            .map(|(place, _)| *place)
+            .collect();
+        if equal.is_empty() {
+            return None;
+        }
+        equal.get(self.rng.random_range(0..equal.len())).copied()
+    }
+
+    /// What an attempt costs at each server that may take it.
+    fn costs(&self, now: time::Time, pending: &Pending) -> Vec<(usize, cost::Cost)> {
+        let arrival = &pending.arrival;
         let broke = arrival.fingerprint.and_then(|f| self.poison.broke(f));
         let errand = server::Errand {
-            scout: arrival.repeatable && left > 1 && pending.tried.is_empty(),
             priority: arrival.priority,
             answer_bytes: arrival.answer_bytes,
             wait_unit: self.usual().div_duration_f64(self.objective(arrival)),
         };
-        let costs = self
-            .servers
-            .iter()
-            .enumerate()
-            .filter_map(|(place, server)| {
-                let handle = server.spec.handle;
-                let tried = pending.tried.contains(&handle) || broke == Some(handle);
-                let cost = if tried {
-                    None
-                } else {
-                    server.cost(now, &errand)
-                };
-                cost.map(|cost| (place, cost))
-            });
-        let costs: Vec<(usize, f64)> = costs.collect();
-        let least = costs.iter().map(|(_, cost)| *cost).min_by(f64::total_cmp)?;
-        let equal: Vec<usize> = costs
-            .iter()
-            .filter(|(_, cost)| *cost <= least + EQUAL)
-            .map(|(place, _)| *place)
-            .collect();
-        equal.get(self.rng.random_range(0..equal.len())).copied()
+        let servers = self.servers.iter().enumerate();
+        let untried = servers.filter(|(_, server)| {
+            let handle = server.spec.handle;
+            !pending.tried.contains(&handle) && broke != Some(handle)
+        });
+        let costs = untried.filter_map(|(place, s)| s.cost(now, &errand).map(|c| (place, c)));
+        costs.collect()
     }
 
     fn objective(&self, arrival: &event::Arrival) -> Duration {
@@ -405,6 +433,11 @@
         }
         match report.end {
             outcome::End::Answered(status) if status < ERROR => server.did_well(now),
+            outcome::End::Answered(EXPIRED) | outcome::End::Failed(EXPIRED) => {
+                if late && !flight.slow {
+                    server.slow(now);
+                }
+            }
             outcome::End::Answered(_) | outcome::End::Failed(_) | outcome::End::Garbled => {
                 server.failed(now);
             }
--- a/crates/policy/src/selector/server.rs
+++ b/crates/policy/src/selector/server.rs
@@ -4,12 +4,9 @@
 
 use monsooncart_types::{instance, map, time};
 
-use crate::selector::belief;
+use crate::selector::{belief, cost};
 use crate::{action, event, handle, inventory, service};
 
-/// Cost of an attempt that fails and can be made once more elsewhere; one that cannot costs 1.
-const RETRIED: f64 = 0.3;
-
 /// Worth of fresh evidence about a near server of which none was had for [`STALE`]. Far servers
 /// are scouted by the daemons beside them, whose successes are not told across.
 const NEWS: f64 = 0.25;
@@ -23,7 +20,7 @@
 /// Cost of the way to another data centre.
 const FAR: f64 = 0.02;
 
-/// Answer bytes of which the way to another data centre costs as much as a failed attempt.
+/// Answer bytes of which the way to another data centre costs as much as a failed request.
 const FAR_BYTES: f64 = 160_000.0;
 
 /// Cost of sharing a server with as many attempts as it has slots.
@@ -71,8 +68,6 @@
 /// What an attempt is for.
 #[derive(Clone, Copy, Debug)]
 pub struct Errand {
-    /// Whether it can be made once more where it fails, so that it may go where little is known.
-    pub scout: bool,
     /// Rank of its request.
     pub priority: u32,
     /// Usual size of its answer, in bytes.
@@ -172,8 +167,8 @@
         self.in_flight + fresh.map(|load| load.in_flight).sum::<u32>()
     }
 
-    /// What an attempt costs, in failed requests; `None` where none may be sent.
-    pub fn cost(&self, now: time::Time, errand: &Errand) -> Option<f64> {
+    /// What an attempt costs; `None` where none may be sent.
+    pub fn cost(&self, now: time::Time, errand: &Errand) -> Option<cost::Cost> {
         if self.is_out() || now < self.closed_until {
             return None;
         }
@@ -184,22 +179,20 @@
         if load >= slots * (1.0 + waiting) {
             return None;
         }
-        let fails = self.belief.fails(now);
-        let stale = now.since(self.seen).div_duration_f64(STALE).min(1.0);
-        let risk = if errand.scout {
-            let news = if self.spec.near { NEWS } else { FAR_NEWS };
-            RETRIED * fails - news * stale
-        } else {
-            fails
-        };
         let before = (load + 1.0 - slots).max(0.0) / slots;
-        let far = if self.spec.near {
-            0.0
+        let cold = if now < self.cold_until { COLD } else { 0.0 };
+        let (news, far, answer) = if self.spec.near {
+            (NEWS, 0.0, 0.0)
         } else {
-            FAR + errand.answer_bytes as f64 / FAR_BYTES
+            (FAR_NEWS, FAR, errand.answer_bytes as f64 / FAR_BYTES)
         };
-        let cold = if now < self.cold_until { COLD } else { 0.0 };
-        Some(risk + before * errand.wait_unit + CROWD * load / slots + far + cold)
+        let stale = now.since(self.seen).div_duration_f64(STALE).min(1.0);
+        Some(cost::Cost {
+            fails: self.belief.fails(now),
+            answer,
+            wait: before * errand.wait_unit + CROWD * load / slots + far + cold,
+            news: news * stale,
+        })
     }
 
     /// Records an attempt.
--- a/crates/policy/tests/selector/choice.rs
+++ b/crates/policy/tests/selector/choice.rs
@@ -133,6 +133,42 @@
     assert_eq!(small.server, handle::Server(1));
 }
 
+#[test]
+fn a_large_answer_is_fetched_far_at_once_where_the_near_server_is_sick() {
+    let mut far = fixture::server(1);
+    far.near = false;
+    let mut bench = fixture::bench(vec![fixture::server(0), far]);
+    bench.hear(0, 0, 3);
+    bench.hear(1, 3, 0);
+    let mut arrival = bench.arrival(true);
+    arrival.answer_bytes = 40_000;
+
+    let sent = fixture::sends(&bench.tell(event::Event::Arrive(arrival)))[0];
+
+    assert_eq!(sent.server, handle::Server(1));
+}
+
+#[test]
+fn no_request_scouts_once_retries_are_spent() {
+    let mut bench = fixture::bench((0..2).map(fixture::server).collect());
+    bench.hear(1, 3, 0);
+    for _ in 0..100 {
+        let sent = fixture::sends(&bench.arrive(true))[0];
+        let again = bench.finish(sent.attempt, outcome::End::Failed(500));
+        let again = fixture::sends(&again);
+        again
+            .iter()
+            .for_each(|s| drop(bench.finish(s.attempt, GOOD)));
+        bench.pass(60 * MS);
+    }
+    bench.hear(0, 0, 3);
+    bench.hear(1, 3, 0);
+
+    let sent = fixture::sends(&bench.arrive(true))[0];
+
+    assert_eq!(sent.server, handle::Server(1));
+}
+
 #[test]
 fn doubt_and_its_end_are_told_to_operators() {
     let mut bench = fixture::bench(vec![fixture::server(0)]);
--- a/crates/policy/tests/selector/ends.rs
+++ b/crates/policy/tests/selector/ends.rs
@@ -111,3 +111,16 @@
         outcome::Reason::Poison
     );
 }
+
+#[test]
+fn a_server_that_ran_out_of_the_requests_time_is_not_doubted() {
+    let mut bench = fixture::bench(vec![fixture::server(0)]);
+    (0..5).for_each(|_| {
+        bench.work(false, 200 * MS, outcome::End::Answered(200));
+    });
+
+    bench.work(false, 400 * MS, outcome::End::Answered(504));
+
+    let view = monsooncart_policy::service::Policy::view(&bench.policy, bench.now);
+    assert_eq!(view[0].state, "active");
+}
