Let news of a change go before a comparison that waits for a frozen peer

Ruled out: lost datagrams (all heard the announcement), the store (the watcher had the change 2 ms after its write). Change: news ends the wait of a comparison; an announced object is asked for at up to three peers, 0.3 s apart; suspected peers are compared with only where no other lives; a call lasts 1 s behind gateways. Before: the new test fails (a mute peer holds up the 1st to 20th change beyond 60 s); after: it passes.

--- a/crates/cluster/src/config.rs
+++ b/crates/cluster/src/config.rs
@@ -60,6 +60,8 @@
     pub answer: Duration,
     /// Time for a page of a listing of the platform.
     pub list: Duration,
+    /// Longest time for one call of a comparison with a peer, or of a pull from one.
+    pub exchange: Duration,
     /// Wait after a failed call of the platform.
     pub backoff: Duration,
     /// Age of the newest known answer of the platform after which more daemons watch.
@@ -86,6 +88,7 @@
             watch: Duration::from_secs(4),
             answer: Duration::from_secs(5),
             list: Duration::from_secs(5),
+            exchange: Duration::from_secs(3),
             backoff: Duration::from_secs(1),
             stale: Duration::from_secs(9),
             watchers: 2,
--- a/crates/cluster/src/spread/compare.rs
+++ b/crates/cluster/src/spread/compare.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use futures_util::future;
 use monsooncart_policy::membership::member;
 use monsooncart_policy::rank;
 use monsooncart_wire::configuration;
@@ -12,8 +13,12 @@
 use super::{held, watch};
 use crate::{call, client, shared};
 
-/// Time for one call.
-const TIMEOUT: Duration = Duration::from_secs(3);
+/// Time after which an announced object is asked for at one more peer; a call inside a region takes
+/// a few milliseconds.
+const NEXT_PEER: Duration = Duration::from_millis(300);
+
+/// Peers that are asked for announced objects at a time, at most.
+const PEERS: usize = 3;
 
 /// Wait between calls while something newer is known or likely to be about.
 const BUSY: Duration = Duration::from_millis(150);
@@ -39,16 +44,21 @@
         if !announced.is_empty() && fetch(&shared, announced).await {
             busy = BUSY_ROUNDS;
         }
-        if Instant::now() >= due {
-            let found = compare(&shared).await;
-            busy = if found {
-                BUSY_ROUNDS
-            } else {
-                busy.saturating_sub(1)
-            };
-            due = Instant::now() + interval(&shared, busy);
+        if Instant::now() < due {
+            rest(&shared, due).await;
+            continue;
         }
-        rest(&shared, due).await;
+        // News goes first: a comparison may wait for a peer that does not answer.
+        let found = tokio::select! {
+            found = compare(&shared) => found,
+            () = shared.held.news.notified() => true,
+        };
+        busy = if found {
+            BUSY_ROUNDS
+        } else {
+            busy.saturating_sub(1)
+        };
+        due = Instant::now() + interval(&shared, busy);
     }
 }
 
@@ -75,12 +85,17 @@
     let _ = tokio::time::timeout_at(due.into(), heard).await;
 }
 
-/// A live member other than this daemon, mostly of this region. Those that may have to watch ask
-/// each other half of the time, so that they know whether the watchers hear from the platform.
+/// A live member other than this daemon, mostly of this region, and one that answers probes where
+/// there is any. Those that may have to watch ask each other half of the time, so that they know
+/// whether the watchers hear from the platform.
 fn peer(shared: &shared::Shared) -> Option<member::Member> {
-    let members = shared.members.load();
+    let live = shared.members.load();
+    let alive = live.iter().filter(|m| m.state == member::State::Alive);
+    let alive: Vec<_> = alive.cloned().collect();
+    let alone = alive.iter().all(|m| m.instance == shared.local.instance);
+    let members = if alone { live.as_slice() } else { &alive };
     let rng = &mut rand::rng();
-    let candidates = candidates(shared, &members);
+    let candidates = candidates(shared, members);
     if !candidates.is_empty() && rng.random() {
         return candidates.choose(rng).map(|m| (*m).clone());
     }
@@ -112,25 +127,43 @@
     top
 }
 
-/// A member of this region that announced an object which is wanted here.
-fn holder(shared: &shared::Shared) -> Option<member::Member> {
+/// The members that are asked for announced objects: those of this region that announced one
+/// first, then others at random.
+fn givers(shared: &shared::Shared) -> Vec<member::Member> {
     let holders = shared.held.holders();
     let members = shared.members.load();
     let near = members.iter().filter(|m| m.region == shared.local.region);
-    let mut near = near.filter(|m| holders.contains(&m.peers));
-    near.next().cloned()
+    let holding = near.filter(|m| holders.contains(&m.peers));
+    let mut givers: Vec<_> = holding.take(1).cloned().collect();
+    let others = (0..PEERS).filter_map(|_| peer(shared));
+    for other in others {
+        if givers.iter().all(|m| m.instance != other.instance) {
+            givers.push(other);
+        }
+    }
+    givers.truncate(PEERS);
+    givers
 }
 
-/// Pulls announced objects from a peer; says whether it gave any.
+/// Pulls announced objects from the first peer that gives any; says whether one did.
 async fn fetch(shared: &Arc<shared::Shared>, wanted: Vec<configuration::Held>) -> bool {
-    let Some(peer) = holder(shared).or_else(|| peer(shared)) else {
-        return false;
-    };
-    let pulled = pull(shared, &shared.client(&peer), wanted).await;
-    pulled.unwrap_or_else(|error| {
-        log::debug!(error:%; "config: announced object not pulled");
-        false
-    })
+    let givers = givers(shared).into_iter().zip(0..);
+    let pulls = givers.map(|(giver, place)| {
+        let wanted = wanted.clone();
+        Box::pin(async move {
+            tokio::time::sleep(NEXT_PEER * place).await;
+            match pull(shared, &shared.client(&giver), wanted).await {
+                Ok(true) => Ok(()),
+                Ok(false) => Err(()),
+                Err(error) => {
+                    log::debug!(error:%; "config: announced object not pulled");
+                    Err(())
+                }
+            }
+        })
+    });
+    let pulls: Vec<_> = pulls.collect();
+    !pulls.is_empty() && future::select_ok(pulls).await.is_ok()
 }
 
 /// Compares with a peer and pulls what is newer there; says whether something was.
@@ -154,7 +187,7 @@
         parts: shared.held.digest(),
         age_millis: shared.fresh.age_millis(),
     };
-    let reply = client.digest(request, TIMEOUT).await?;
+    let reply = client.digest(request, shared.timings.exchange).await?;
     shared.fresh.learn(reply.age_millis);
     let snapshot = shared.held.snapshot();
     let version = |held: &configuration::Held| snapshot.version(&held.key).unwrap_or(0);
@@ -180,7 +213,9 @@
     while !asked.is_empty() {
         let batch = asked.len().min(PULL);
         let held = asked[..batch].to_vec();
-        let reply = client.pull(configuration::Pull { held }, TIMEOUT).await?;
+        let reply = client
+            .pull(configuration::Pull { held }, shared.timings.exchange)
+            .await?;
         let last = reply.objects.last().map(|o| o.key.clone());
         let objects = reply.objects.into_iter().map(|o| held::Object {
             key: o.key,
--- a/crates/cluster/tests/engine/spread.rs
+++ b/crates/cluster/tests/engine/spread.rs
@@ -2,10 +2,12 @@
 
 use std::net;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
-use monsooncart_cluster::engine;
 use monsooncart_cluster::spread::held;
-use monsooncart_config::object;
+use monsooncart_cluster::{config, engine};
+use monsooncart_config::{object, zone};
+use monsooncart_policy::membership::timings;
 
 use crate::fixture::{self, Daemon};
 use crate::platform::{self, Platform};
@@ -191,3 +193,68 @@
         Ok(())
     });
 }
+
+/// Zones of which an announcement cannot carry the value.
+fn many_zones(change: usize) -> object::Value {
+    let zone = |number| zone::Zone {
+        data_centre: format!("attica-{change}-{number}").parse().unwrap(),
+        region: "attica".parse().unwrap(),
+    };
+    object::Value::Zones((0..100).map(zone).collect())
+}
+
+/// A listener that takes connections and never answers.
+async fn mute() -> net::SocketAddr {
+    let listener = tokio::net::TcpListener::bind(fixture::loopback(1))
+        .await
+        .unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        let mut held = Vec::new();
+        while let Ok((stream, _)) = listener.accept().await {
+            held.push(stream);
+        }
+    });
+    address
+}
+
+/// Timings under which a call of a peer that does not answer lasts beyond any test, and nobody is
+/// suspected.
+fn endless() -> config::Timings {
+    const ENDLESS: Duration = Duration::from_secs(3600);
+    let timings = fixture::timings();
+    config::Timings {
+        dial: ENDLESS,
+        exchange: ENDLESS,
+        watchers: 3,
+        membership: timings::Timings {
+            period: ENDLESS,
+            ..timings.membership
+        },
+        ..timings
+    }
+}
+
+#[tokio::test]
+async fn a_peer_that_never_answers_holds_up_no_change() {
+    let platform = Platform::new();
+    let settings = |name| fixture::settings(name, &fixture::recorder()).timings(endless());
+    let watcher = settings("vm-0").store(platform.outage.clone());
+    let watcher = watcher.start().await.unwrap();
+    let seeds = vec![watcher.local().peers];
+    let other = settings("vm-1").seeds(seeds.clone()).start().await.unwrap();
+    let frozen = settings("vm-2").seeds(seeds).advertise(Some(mute().await));
+    let _frozen = frozen.start().await.unwrap();
+    let joined = || watcher.members().len() == 3 && other.members().len() == 3;
+    fixture::eventually("all joined", joined).await;
+
+    for change in 0..20 {
+        let version = platform
+            .write(&object::Key::Zones, &many_zones(change))
+            .await;
+        let holds = || holds(&other, &object::Key::Zones, version);
+        fixture::eventually("change held", holds).await;
+        // The next comparison may begin.
+        tokio::time::sleep(endless().compare).await;
+    }
+}
--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -48,6 +48,10 @@
 /// Age of the last news of the store after which more daemons watch it: one wait and one answer.
 const STALE: Duration = Duration::from_millis(1900);
 
+/// Longest time for a comparison with a peer or a pull from one: half of the two seconds in which a
+/// change is to be in force.
+const EXCHANGE: Duration = Duration::from_secs(1);
+
 /// Wait after a failed call of the store.
 const BACKOFF: Duration = Duration::from_millis(400);
 
@@ -148,6 +152,7 @@
         answer: ANSWER,
         list: STORE_CALL,
         stale: STALE,
+        exchange: EXCHANGE,
         backoff: BACKOFF,
         watchers: 1,
         read_first: true,
