Add a randomized fault soak over real processes

The store, servers and callers of the users' platform run in one process, daemons as processes of their own, with links of the fault-injecting proxy between them. Stages of troubles that overlap take turns with stages of planned work, in which bounds in time are judged. The documents of that platform move from the tests' fixture into testbed::site. Signals are taken from before a daemon's start on: a SIGHUP that came earlier ended it.

--- a/crates/testbed/src/commands.rs
+++ b/crates/testbed/src/commands.rs
@@ -7,3 +7,4 @@
 pub mod fault;
 pub mod naive_daemon;
 pub mod platform;
+pub mod soak;
--- /dev/null
+++ b/crates/testbed/src/commands/soak.rs
@@ -0,0 +1,78 @@
+//! `soak`: Runs daemons under random faults and checks the promises.
+
+use std::path;
+use std::process;
+use std::time::Duration;
+
+use clap::Args;
+use monsooncart_testbed::experiment;
+use monsooncart_testbed::soak;
+
+/// Arguments of `soak`.
+#[derive(Args, Debug)]
+pub struct Arguments {
+    /// Seed of all that is drawn at random.
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// Minutes for which troubles come.
+    #[arg(long, default_value_t = 1.0)]
+    minutes: f64,
+    /// Daemons.
+    #[arg(long, default_value_t = 6, value_parser = clap::value_parser!(u8).range(1..=60))]
+    daemons: u8,
+    /// Servers at the start.
+    #[arg(long, default_value_t = 8, value_parser = clap::value_parser!(u8).range(1..=90))]
+    servers: u8,
+    /// Callers.
+    #[arg(long, default_value_t = 40)]
+    callers: usize,
+    /// Judges no promise that is a bound in time, for machines that are busy with other work.
+    #[arg(long)]
+    untimed: bool,
+    /// Has servers run what they say they did not run, which the soak must find.
+    #[arg(long)]
+    liars: bool,
+    /// Folder for settings and logs; one of the seed's own in the temporary folder where absent.
+    #[arg(long)]
+    folder: Option<path::PathBuf>,
+}
+
+impl Arguments {
+    /// Runs the soak; fails where a promise is broken.
+    pub async fn run(self) -> process::ExitCode {
+        let name = format!("monsooncart-soak-{}-{}", self.seed, process::id());
+        let folder = self
+            .folder
+            .unwrap_or_else(|| std::env::temp_dir().join(name));
+        let program = experiment::process::monsooncart();
+        let program = match program.and_then(|p| std::fs::create_dir_all(&folder).map(|()| p)) {
+            Ok(program) => program,
+            Err(error) => {
+                eprintln!("soak: {}: {error}", folder.display());
+                return process::ExitCode::FAILURE;
+            }
+        };
+        let options = soak::Options {
+            seed: self.seed,
+            length: Duration::from_secs_f64(self.minutes.max(0.0) * 60.0),
+            daemons: self.daemons,
+            servers: self.servers,
+            callers: self.callers,
+            timed: !self.untimed,
+            liars: self.liars,
+            folder: folder.clone(),
+            program,
+        };
+        match soak::run(options).await {
+            Ok(report) => {
+                println!("soak: seed={} {report}", self.seed);
+                if report.count == 0 {
+                    return process::ExitCode::SUCCESS;
+                }
+                println!("soak: logs in {}", folder.display());
+            }
+            Err(error) => eprintln!("soak: seed={}: {error}", self.seed),
+        }
+        process::ExitCode::FAILURE
+    }
+}
--- a/crates/testbed/src/experiment.rs
+++ b/crates/testbed/src/experiment.rs
@@ -16,7 +16,7 @@
 mod ejections;
 mod fault;
 mod load;
-mod process;
+pub mod process;
 
 use std::time::Duration;
 
--- a/crates/testbed/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -11,4 +11,6 @@
 pub mod local;
 pub mod platform;
 pub mod registry;
+pub mod site;
+pub mod soak;
 pub mod worker;
--- a/crates/testbed/src/main.rs
+++ b/crates/testbed/src/main.rs
@@ -24,6 +24,8 @@
     NaiveDaemon(commands::naive_daemon::Arguments),
     /// Runs the platform's object API and VM list.
     Platform(commands::platform::Arguments),
+    /// Runs daemons under random faults and checks the promises.
+    Soak(commands::soak::Arguments),
 }
 
 #[tokio::main]
@@ -31,7 +33,7 @@
     let command = Command::parse();
     // The daemons of an experiment share its process; their logs would hide its figures.
     let filter = match command {
-        Command::ControlPoint(_) | Command::Experiment(_) => "error",
+        Command::ControlPoint(_) | Command::Experiment(_) | Command::Soak(_) => "error",
         _ => "info,tarpc=warn",
     };
     env_logger::Builder::from_env(env_logger::Env::default().default_filter_or(filter)).init();
@@ -43,5 +45,6 @@
         Command::Fault(arguments) => arguments.run().await,
         Command::NaiveDaemon(arguments) => arguments.run().await,
         Command::Platform(arguments) => arguments.run().await,
+        Command::Soak(arguments) => arguments.run().await,
     }
 }
--- a/crates/testbed/src/worker.rs
+++ b/crates/testbed/src/worker.rs
@@ -6,7 +6,7 @@
 use std::io;
 use std::net;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use serde_json::{Value, json};
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
@@ -19,7 +19,8 @@
 const MAX_REQUEST: usize = 1 << 20;
 
 /// How a server treats requests.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, strum::Display)]
+#[strum(serialize_all = "kebab-case")]
 pub enum Mode {
     /// It answers well.
     #[default]
@@ -40,6 +41,8 @@
     Unframed,
     /// It answers well and sends a second answer with the next request.
     Extra,
+    /// It runs the request and refuses it as not run, against its contract.
+    Lies,
 }
 
 #[derive(Debug, Default)]
@@ -48,6 +51,10 @@
     delay: Duration,
     runs: BTreeMap<String, u32>,
     heads: Vec<String>,
+    /// When it began to run a request last.
+    last: Option<Instant>,
+    /// The server that has its address now.
+    heir: Option<String>,
 }
 
 /// The server.
@@ -99,6 +106,17 @@
         self.state().runs.clone()
     }
 
+    /// When it began to run a request last.
+    #[must_use]
+    pub fn last(&self) -> Option<Instant> {
+        self.state().last
+    }
+
+    /// Ends it: another server answers at its address from now on.
+    pub fn succeeded(&self, heir: &str) {
+        self.state().heir = Some(heir.to_owned());
+    }
+
     /// Heads of the requests that arrived.
     #[must_use]
     pub fn heads(&self) -> Vec<String> {
@@ -148,7 +166,10 @@
             let (mode, delay) = {
                 let mut state = self.state();
                 state.heads.push(request.head.clone());
-                (state.mode, state.delay)
+                match state.heir {
+                    Some(_) => (Mode::Misdirected, Duration::ZERO),
+                    None => (state.mode, state.delay),
+                }
             };
             if let Some(extra) = extra.take() {
                 stream
@@ -168,11 +189,21 @@
                 stream.write_all(text.as_bytes()).await?;
                 continue;
             }
-            *self.state().runs.entry(request.id.clone()).or_default() += 1;
+            {
+                let mut state = self.state();
+                *state.runs.entry(request.id.clone()).or_default() += 1;
+                state.last = Some(Instant::now());
+            }
             tokio::time::sleep(delay).await;
             let text = match mode {
                 Mode::Errors => answer("500 Internal Server Error", &request.id, "failed"),
                 Mode::Foreign => answer("200 OK", "another", BODY),
+                Mode::Lies => {
+                    let id = &request.id;
+                    format!(
+                        "HTTP/1.1 503 Service Unavailable\r\nx-attempt-id: {id}\r\nx-not-executed: 1\r\ncontent-length: 0\r\n\r\n"
+                    )
+                }
                 Mode::Reset => {
                     let socket = socket2::SockRef::from(&stream);
                     socket.set_linger(Some(Duration::ZERO))?;
--- a/src/commands/run.rs
+++ b/src/commands/run.rs
@@ -34,6 +34,14 @@
                 return exit::Code::Input;
             }
         };
+        // Signals are taken from before the start on, so that one that comes early ends nothing.
+        let signals = match Signals::new() {
+            Ok(signals) => signals,
+            Err(error) => {
+                eprintln!("daemon: signals are not to be had: {error}");
+                return exit::Code::Failure;
+            }
+        };
         let config = config::Config::new(settings).interface(monsooncart_platform::interface());
         let engine = match config.start().await {
             Ok(engine) => engine,
@@ -49,7 +57,7 @@
             engine.peers(),
             engine.advertised()
         );
-        serve(&engine, &self.settings).await
+        serve(&engine, &self.settings, signals).await
     }
 }
 
@@ -70,14 +78,7 @@
     }
 }
 
-async fn serve(engine: &engine::Engine, path: &path::Path) -> exit::Code {
-    let mut signals = match Signals::new() {
-        Ok(signals) => signals,
-        Err(error) => {
-            eprintln!("daemon: signals are not to be had: {error}");
-            return exit::Code::Failure;
-        }
-    };
+async fn serve(engine: &engine::Engine, path: &path::Path, mut signals: Signals) -> exit::Code {
     let mut looks = tokio::time::interval(LOOK);
     let mut seen = modified(path);
     loop {
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -14,5 +14,6 @@
 mod path;
 mod poison;
 mod secret;
+mod soak;
 mod stop;
 mod usage;
