Have another daemon watch in place of one that the store turns away

The store turned the watcher of a data centre away; another listed once, was heard, and left the watch to the one that ranks higher and could not hear, for 1.9 s, and again. Besides, the age of the news was learned from other data centres, whose watchers did hear, so that nobody took over. Ruled out: lost datagrams, a late store (acked in 26 ms). Change: a watcher says in whose name it heard or lost the store; those that lost it are passed over in the ranking, up to eight; suspected ones too; the age is learned inside a region alone; a wait after a second failure in a row is doubled; taking and leaving the watch are logged.

--- a/crates/cluster/src/shared.rs
+++ b/crates/cluster/src/shared.rs
@@ -188,6 +188,7 @@
         let mut addresses: map::Set<_> = known.collect();
         addresses.extend(listed.map(|vm| vm.peers.ip()));
         addresses.extend(self.seeds.iter().map(net::SocketAddr::ip));
+        self.fresh.follow(&members);
         self.members.store(Arc::new(members));
         self.admission.set(addresses);
         drop(protocol);
@@ -361,10 +362,10 @@
                 }
                 continue;
             }
-            if let news::News::Platform { heard } = news {
+            if let news::News::Platform { heard, from } = news {
                 match heard {
-                    true => self.fresh.learn(Some(0)),
-                    false => self.fresh.forget(),
+                    true => self.fresh.heard_by(from),
+                    false => self.fresh.lost_by(from),
                 }
                 continue;
             }
--- a/crates/cluster/src/spread/compare.rs
+++ b/crates/cluster/src/spread/compare.rs
@@ -171,24 +171,27 @@
     let Some(peer) = peer(shared) else {
         return false;
     };
-    let client = shared.client(&peer);
-    let compared = difference(shared, &client).await;
+    let compared = difference(shared, &peer).await;
     compared.unwrap_or_else(|error| {
         log::debug!(error:%; "config: comparison failed");
         false
     })
 }
 
+/// Each region has its watchers: what those of another hear says nothing of this one's, and is
+/// neither told nor learned.
 async fn difference(
     shared: &Arc<shared::Shared>,
-    client: &client::Client,
+    peer: &member::Member,
 ) -> Result<bool, call::Error> {
+    let client = &shared.client(peer);
+    let near = peer.region == shared.local.region;
     let request = configuration::Digest {
         parts: shared.held.digest(),
-        age_millis: shared.fresh.age_millis(),
+        age_millis: shared.fresh.age_millis().filter(|_| near),
     };
     let reply = client.digest(request, shared.timings.exchange).await?;
-    shared.fresh.learn(reply.age_millis);
+    shared.fresh.learn(reply.age_millis.filter(|_| near));
     let snapshot = shared.held.snapshot();
     let version = |held: &configuration::Held| snapshot.version(&held.key).unwrap_or(0);
     let newer = reply
--- a/crates/cluster/src/spread/watch.rs
+++ b/crates/cluster/src/spread/watch.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use monsooncart_policy::membership::member;
 use monsooncart_store::{error, object, store};
 use monsooncart_types::map;
 use monsooncart_wire::{frame, news};
@@ -17,6 +18,12 @@
 /// Watchers of a region while no watcher is known to hear from the platform.
 pub(super) const COUNT_STALE: usize = 5;
 
+/// Watchers that have lost the platform and are passed over, at most.
+const DEAF: usize = 8;
+
+/// Doublings of the wait after failed calls of the platform, at most.
+const DOUBLINGS: u32 = 1;
+
 /// Objects of one change that are announced; the rest are found by the comparisons that follow.
 const ANNOUNCED: usize = 256;
 
@@ -44,7 +51,14 @@
     } else {
         COUNT_STALE.max(watchers)
     };
-    shared::lock(&shared.protocol).is_chosen(WATCHERS, count)
+    // Those that have lost the platform go on trying, but others watch in their place; where many
+    // have, the platform itself is away, and no more daemons are to ask it.
+    let deaf = shared.fresh.deaf();
+    let may = |m: &member::Member| {
+        let hears = deaf.len() > DEAF || !deaf.contains(&m.instance);
+        m.state == member::State::Alive && hears
+    };
+    shared::lock(&shared.protocol).is_chosen_among(WATCHERS, count, may)
 }
 
 /// A removal that takes effect only if the object does not come back.
@@ -58,8 +72,8 @@
     shared: Arc<shared::Shared>,
     store: Arc<dyn store::Store>,
     prefix: &'static str,
-    /// Whether the last call failed.
-    away: bool,
+    /// Calls that failed since the platform answered last.
+    failures: u32,
     /// When the platform was heard again after a failure.
     returned: Option<Instant>,
     lapses: Vec<Lapse>,
@@ -75,7 +89,7 @@
             shared,
             store,
             prefix,
-            away: false,
+            failures: 0,
             returned: None,
             lapses: Vec::new(),
         }
@@ -93,7 +107,7 @@
             match self.follow().await {
                 Ok(()) => first = false,
                 Err(error) => {
-                    if !self.away {
+                    if self.failures == 0 {
                         log::warn!(prefix = self.prefix, error:%; "config: platform lost");
                     }
                     self.lost();
@@ -105,7 +119,9 @@
 
     async fn pause(&mut self) {
         let jitter = rand::rng().random_range(1.0..2.0);
-        tokio::time::sleep(self.shared.timings.backoff.mul_f64(jitter)).await;
+        let doublings = self.failures.saturating_sub(1).min(DOUBLINGS);
+        let backoff = self.shared.timings.backoff * 2u32.pow(doublings);
+        tokio::time::sleep(backoff.mul_f64(jitter)).await;
         self.lapsed();
     }
 
@@ -113,6 +129,7 @@
     /// the platform's history ends, and the next one lists again.
     async fn follow(&mut self) -> Result<(), error::Error> {
         let mut since = self.list().await?;
+        log::info!(prefix = self.prefix, since:% = since; "config: listed, watching while chosen");
         while has_duty(&self.shared) {
             shared::count(&self.shared.counters.platform_calls);
             let wait = self.wait();
@@ -129,6 +146,7 @@
             self.lapsed();
             since = page.revision.max(since);
         }
+        log::info!(prefix = self.prefix, since:% = since; "config: others watch");
         Ok(())
     }
 
@@ -142,18 +160,23 @@
         due.unwrap_or(Duration::MAX).min(self.shared.timings.watch)
     }
 
-    /// Notes that the platform did not answer; others of the region are to watch.
+    /// Notes that the platform did not answer; others of the region are to watch. It is told at
+    /// each failure, as some may not hear of one.
     fn lost(&mut self) {
-        if !std::mem::replace(&mut self.away, true) {
-            self.shared.cast_near(news::News::Platform { heard: false });
-        }
+        self.failures += 1;
+        self.tell(false);
+    }
+
+    fn tell(&self, heard: bool) {
+        let from = self.shared.local.instance;
+        self.shared.cast_near(news::News::Platform { heard, from });
     }
 
     /// Notes that the platform answered.
     fn heard(&mut self) {
         self.shared.fresh.learn(Some(0));
-        self.shared.cast_near(news::News::Platform { heard: true });
-        if std::mem::take(&mut self.away) {
+        self.tell(true);
+        if std::mem::take(&mut self.failures) > 0 {
             log::info!(prefix = self.prefix; "config: platform is back");
             self.returned = Some(Instant::now());
         }
--- a/crates/policy/src/membership/protocol.rs
+++ b/crates/policy/src/membership/protocol.rs
@@ -129,9 +129,22 @@
     /// Whether this daemon is one of the `count` of its region that rank highest for `key`.
     #[must_use]
     pub fn is_chosen(&self, key: &[u8], count: usize) -> bool {
+        self.is_chosen_among(key, count, |_| true)
+    }
+
+    /// The same among itself and those others that `may` do the work.
+    #[must_use]
+    pub fn is_chosen_among(
+        &self,
+        key: &[u8],
+        count: usize,
+        may: impl Fn(&member::Member) -> bool,
+    ) -> bool {
+        let me = &self.me.member;
         let members = self.table.members();
-        let peers = members.filter(|m| m.region == self.me.member.region && m.is_eligible());
-        let top = rank::top(key, peers, count);
+        let peers = members.filter(|m| m.region == me.region && m.is_eligible());
+        let able = peers.filter(|m| m.vm == me.vm || may(m));
+        let top = rank::top(key, able, count);
         top.iter().any(|m| m.vm == self.me.member.vm)
     }
 
--- a/crates/testbed/src/soak/operator.rs
+++ b/crates/testbed/src/soak/operator.rs
@@ -16,6 +16,9 @@
 /// Time between two looks.
 const LOOK: Duration = Duration::from_millis(300);
 
+/// Status of a request that was served, which shows that its route is known.
+const SERVED: u16 = 200;
+
 /// Status where there is no such route.
 const NO_ROUTE: u16 = 404;
 
@@ -74,8 +77,10 @@
                 continue;
             };
             let known = seen.get(&run).copied().unwrap_or_default();
-            if status != NO_ROUTE {
+            if status == SERVED {
                 seen.insert(run, change.max(known));
+            }
+            if status != NO_ROUTE {
                 continue;
             }
             let (ip, number) = run;
--- a/crates/wire/src/news.rs
+++ b/crates/wire/src/news.rs
@@ -87,6 +87,8 @@
     Platform {
         /// Whether it has heard.
         heard: bool,
+        /// The watcher's run.
+        from: instance::Instance,
     },
 }
 
