--- a/crates/cluster/src/engine.rs
+++ b/crates/cluster/src/engine.rs
@@ -37,16 +37,6 @@
     u64::try_from(millis).unwrap_or(u64::MAX)
 }
 
-/// News for its receiver alone.
-fn receiver_item(news: news::News) -> news::Item {
-    news::Item {
-        number: rand::random(),
-        age_millis: 0,
-        reach: news::Reach::Receiver,
-        news,
-    }
-}
-
 impl Engine {
     pub(crate) async fn start(config: config::Config) -> Result<Self, config::Error> {
         let tls = config.keys.as_ref().map(tls::Tls::load).transpose()?;
@@ -200,7 +190,7 @@
     /// Tells news to a few members by datagrams, which may be lost; by calls where it is too large
     /// for one. The handler of this daemon is not told.
     pub fn cast(&self, news: news::News, members: &[member::Member]) {
-        let item = receiver_item(news);
+        let item = shared::receiver_item(news);
         let others = members.iter();
         let others = others.filter(|m| m.instance != self.shared.local.instance);
         let to: Vec<_> = others.map(|m| m.peers).collect();
@@ -208,7 +198,7 @@
     }
 
     fn tell_directly(&self, news: news::News, members: &[member::Member]) {
-        let item = receiver_item(news);
+        let item = shared::receiver_item(news);
         let others = members.iter();
         let others = others.filter(|m| m.instance != self.shared.local.instance);
         let to: Vec<_> = others.map(|m| m.peers).collect();
--- a/crates/cluster/src/shared.rs
+++ b/crates/cluster/src/shared.rs
@@ -79,6 +79,16 @@
     }
 }
 
+/// News for its receiver alone.
+pub(crate) fn receiver_item(news: news::News) -> news::Item {
+    news::Item {
+        number: rand::random(),
+        age_millis: 0,
+        reach: news::Reach::Receiver,
+        news,
+    }
+}
+
 /// Divides items over datagrams; those that none holds are left out.
 fn batches(items: Vec<news::Item>, large: &[news::Item]) -> Vec<Vec<news::Item>> {
     let mut batches: Vec<Vec<news::Item>> = Vec::new();
@@ -203,26 +213,23 @@
                 return;
             }
         };
-        // A datagram that the kernel does not take is lost like any other.
-        if self.udp.try_send_to(&bytes, to).is_ok() {
+        self.send_bytes(&bytes, to);
+    }
+
+    /// Sends a datagram; one that the kernel does not take is lost like any other.
+    fn send_bytes(&self, bytes: &[u8], to: net::SocketAddr) {
+        if self.udp.try_send_to(bytes, to).is_ok() {
             count(&self.counters.datagrams_sent);
             let length = bytes.len() as u64;
-            self.counters
-                .bytes_sent
-                .fetch_add(length, Ordering::Relaxed);
+            let sent = &self.counters.bytes_sent;
+            sent.fetch_add(length, Ordering::Relaxed);
         }
     }
 
     /// Tells news to the live members of this region by one datagram each.
     pub(crate) fn cast_near(self: &Arc<Self>, news: news::News) {
         let near = lock(&self.protocol).near();
-        let item = news::Item {
-            number: rand::random(),
-            age_millis: 0,
-            reach: news::Reach::Receiver,
-            news,
-        };
-        self.cast(&[item], &near);
+        self.cast(&[receiver_item(news)], &near);
     }
 
     /// Tells news by one datagram each, or by calls where it is too large for one.
@@ -233,13 +240,7 @@
             Err(_) => return self.tell_by_calls(items, to),
         };
         for to in to {
-            // A datagram that the kernel does not take is lost like any other.
-            if self.udp.try_send_to(&bytes, *to).is_ok() {
-                count(&self.counters.datagrams_sent);
-                let length = bytes.len() as u64;
-                let sent = &self.counters.bytes_sent;
-                sent.fetch_add(length, Ordering::Relaxed);
-            }
+            self.send_bytes(&bytes, *to);
         }
     }
 
