--- a/crates/policy/src/selector.rs
+++ b/crates/policy/src/selector.rs
@@ -13,8 +13,10 @@
 
 pub mod belief;
 pub mod budget;
+mod choice;
 mod config;
 mod cost;
+mod evidence;
 mod flight;
 mod server;
 
@@ -28,12 +30,6 @@
 
 pub use config::Config;
 
-/// Lowest status of an answer that counts as an error.
-const ERROR: u16 = 500;
-
-/// Status of a server that ran out of the time that it was told, which says that it works.
-const EXPIRED: u16 = 504;
-
 /// Part of the objective after which a repeatable request is sent to a second server.
 const HEDGE: f64 = 0.5;
 
@@ -43,9 +39,6 @@
 /// Times the usual time to an answer from which an attempt counts as slow.
 const SLOW: f64 = 3.0;
 
-/// Weight of a new time in a running mean.
-const MEAN_WEIGHT: f64 = 0.05;
-
 /// Share of the objective that an attempt is taken to last before any was seen.
 const UNSEEN: f64 = 0.25;
 
@@ -55,21 +48,6 @@
 /// Shortest and longest time to come back in.
 const COME_BACK_BOUNDS: [Duration; 2] = [Duration::from_millis(100), Duration::from_secs(2)];
 
-/// Difference in cost below which servers are taken for equal, so that daemons do not all choose
-/// the same one.
-const EQUAL: f64 = 0.01;
-
-/// The least and the second least of some costs; infinite where there are too few.
-fn least_two(costs: impl Iterator<Item = f64>) -> (f64, f64) {
-    costs.fold((f64::INFINITY, f64::INFINITY), |(least, second), cost| {
-        if cost < least {
-            (cost, least)
-        } else {
-            (least, second.min(cost))
-        }
-    })
-}
-
 /// A request without an end.
 #[derive(Clone, Debug)]
 struct Pending {
@@ -255,62 +233,6 @@
         self.usual.unwrap_or(self.promise.mul_f64(UNSEEN))
     }
 
-    /// The server that costs the least; at random between those that cost about the same.
-    ///
-    /// A request that can be sent once more elsewhere is weighed with the best server for that.
-    fn choose(&mut self, now: time::Time, pending: &Pending) -> Option<usize> {
-        let arrival = &pending.arrival;
-        let left = arrival.attempts.saturating_sub(pending.tried.len() as u32);
-        if left == 0 {
-            return None;
-        }
-        let costs = self.costs(now, pending);
-        let first = arrival.repeatable && left > 1 && pending.tried.is_empty();
-        let first = first && self.budget.affords(now, self.daemons);
-        let (best, second) = least_two(costs.iter().map(|(_, cost)| cost.last()));
-        let total = |cost: &cost::Cost| {
-            if !first {
-                return cost.last();
-            }
-            let is_best = cost.last() <= best;
-            cost.first(if is_best { second } else { best })
-        };
-        let totals: Vec<(usize, f64)> = costs.iter().map(|(p, cost)| (*p, total(cost))).collect();
-        let (least, _) = least_two(totals.iter().map(|(_, total)| *total));
-        let equal: Vec<usize> = totals
-            .iter()
-            .filter(|(_, total)| *total <= least + EQUAL)
-            .map(|(place, _)| *place)
-            .collect();
-        if equal.is_empty() {
-            return None;
-        }
-        equal.get(self.rng.random_range(0..equal.len())).copied()
-    }
-
-    /// What an attempt costs at each server that may take it.
-    fn costs(&self, now: time::Time, pending: &Pending) -> Vec<(usize, cost::Cost)> {
-        let arrival = &pending.arrival;
-        let broke = arrival.fingerprint.and_then(|f| self.poison.broke(f));
-        let errand = server::Errand {
-            priority: arrival.priority,
-            answer_bytes: arrival.answer_bytes,
-            wait_unit: self.usual().div_duration_f64(self.objective(arrival)),
-        };
-        let servers = self.servers.iter().enumerate();
-        let untried = servers.filter(|(_, server)| {
-            let handle = server.spec.handle;
-            !pending.tried.contains(&handle) && broke != Some(handle)
-        });
-        let costs = untried.filter_map(|(place, s)| s.cost(now, &errand).map(|c| (place, c)));
-        costs.collect()
-    }
-
-    fn objective(&self, arrival: &event::Arrival) -> Duration {
-        let objective = arrival.objective.unwrap_or(self.promise);
-        objective.max(Duration::from_millis(1))
-    }
-
     fn send(
         &mut self,
         now: time::Time,
@@ -405,119 +327,6 @@
         self.again(now, &flight, &report, actions);
     }
 
-    /// Takes what the end of an attempt says of its server and of its request.
-    fn learn(
-        &mut self,
-        now: time::Time,
-        flight: &flight::Flight,
-        report: &Report,
-        actions: &mut Vec<action::Action>,
-    ) {
-        let span = now.since(flight.sent);
-        let late = span >= self.usual().mul_f64(SLOW);
-        if let outcome::End::Answered(_) = report.end {
-            let old = self.usual();
-            let mean = old.mul_f64(1.0 - MEAN_WEIGHT) + span.mul_f64(MEAN_WEIGHT);
-            self.usual = Some(if self.usual.is_some() { mean } else { span });
-            if let Some(fingerprint) = flight.fingerprint {
-                self.poison.answered(fingerprint);
-            }
-        }
-        let Some(server) = self.server(flight.server) else {
-            return;
-        };
-        server.ended();
-        if server.spec.started_millis != flight.started_millis {
-            // Another run of the server took its name meanwhile.
-            return;
-        }
-        match report.end {
-            outcome::End::Answered(status) if status < ERROR => server.did_well(now),
-            outcome::End::Answered(EXPIRED) | outcome::End::Failed(EXPIRED) => {
-                if late && !flight.slow {
-                    server.slow(now);
-                }
-            }
-            outcome::End::Answered(_) | outcome::End::Failed(_) | outcome::End::Garbled => {
-                server.failed(now);
-            }
-            outcome::End::Broken => {
-                server.failed(now);
-                self.broken(now, flight, actions);
-            }
-            outcome::End::Timeout if late && !flight.slow => server.failed(now),
-            outcome::End::Shed { leaving } => {
-                server.shed(now, report.retry_after);
-                server.left |= leaving;
-            }
-            outcome::End::Misdirected => server.replaced = true,
-            outcome::End::Unsent => server.unreachable(now),
-            outcome::End::Timeout | outcome::End::Cancelled => {}
-        }
-        self.note(now, flight.server, actions);
-    }
-
-    /// Tells operators where a server is held for something else than before.
-    fn note(&mut self, now: time::Time, server: handle::Server, actions: &mut Vec<action::Action>) {
-        let Some(held) = self.server(server) else {
-            return;
-        };
-        if let Some(turn) = held.turn(now) {
-            let evidence = held.evidence(now);
-            actions.push(action::Action::Note {
-                server,
-                turn,
-                evidence,
-            });
-        }
-    }
-
-    /// Takes the break of a connection, which may be the request's doing.
-    fn broken(
-        &mut self,
-        now: time::Time,
-        flight: &flight::Flight,
-        actions: &mut Vec<action::Action>,
-    ) {
-        let Some(fingerprint) = flight.fingerprint else {
-            return;
-        };
-        let server = flight.server;
-        let verdict = self.poison.broken(now, fingerprint, server, 0.0);
-        if verdict == poison::Verdict::Blamed {
-            actions.push(action::Action::Blame {
-                fingerprint,
-                server,
-            });
-        }
-        Self::convict(fingerprint, verdict, actions);
-    }
-
-    /// Takes the break of a server that another daemon saw.
-    fn blame(
-        &mut self,
-        now: time::Time,
-        fingerprint: handle::Fingerprint,
-        server: handle::Server,
-        actions: &mut Vec<action::Action>,
-    ) {
-        let verdict = self.poison.broken(now, fingerprint, server, 0.0);
-        Self::convict(fingerprint, verdict, actions);
-    }
-
-    fn convict(
-        fingerprint: handle::Fingerprint,
-        verdict: poison::Verdict,
-        actions: &mut Vec<action::Action>,
-    ) {
-        if let poison::Verdict::Poison { .. } = verdict {
-            actions.push(action::Action::Quarantine {
-                fingerprint,
-                span: poison::SPAN,
-            });
-        }
-    }
-
     /// Sends a request once more where it may, and ends it elsewhere.
     fn again(
         &mut self,
@@ -563,22 +372,6 @@
         self.refuse(request, reason, actions);
     }
 
-    /// Takes a peer's evidence.
-    fn hear(
-        &mut self,
-        now: time::Time,
-        from: monsooncart_types::instance::Instance,
-        digests: &[(handle::Server, event::Digest)],
-        actions: &mut Vec<action::Action>,
-    ) {
-        for (server, digest) in digests {
-            if let Some(held) = self.server(*server) {
-                held.hear(now, from, digest);
-                self.note(now, *server, actions);
-            }
-        }
-    }
-
     /// Looks at the attempts that wait for their answers.
     fn tick(&mut self, now: time::Time, actions: &mut Vec<action::Action>) {
         if !self.poison.is_empty() {
