--- a/crates/testbed/src/caller/report.rs
+++ b/crates/testbed/src/caller/report.rs
@@ -105,7 +105,7 @@
 
     /// Lost unrepeatable work that no fleet could have kept from a server that fell silent.
     ///
-    /// `silent` has the server's starts from its first silence on. Within [`SLOW`] times the 99th
+    /// `silent` has the server's starts from its first silence on. Within three times the 99th
     /// percentile silence is no sign; what the server took later is not counted.
     #[must_use]
     pub fn unforeseeable(&self, silent: &[starts::Start]) -> u64 {
