Choose another server when the chosen one was removed before the send

Cause: a request whose server leaves the configuration between the policy's choice and the proxy's send was reported to the policy as Cancelled, as if its caller had disconnected.

Ruled out: reporting it as Unsent, which counts as a failed connection against the server and uses up one of the request's attempts.

Change: outcome Removed. It is certainly not run, costs neither an attempt nor retry budget, is no evidence, and keeps the server out of the choice until the next inventory. A log line names the request and the server.

The selector's model of the invariants counts servers that were sent to; an attempt at a removed server is none of them, and in exchange the model now requires that no removed server is chosen again.

--- a/crates/policy/src/balancer/backend.rs
+++ b/crates/policy/src/balancer/backend.rs
@@ -48,6 +48,8 @@
     pub spec: inventory::Server,
     /// Whether the server or a peer announced that it is leaving; never reset.
     pub announced_leaving: bool,
+    /// Whether the configuration no longer has the server and the next inventory is outstanding.
+    pub removed: bool,
     pub load: slots::load::Load,
     pub monitor: monitor::Monitor,
     pub connections: connections::Tracker,
@@ -94,6 +96,7 @@
         Self {
             spec,
             announced_leaving: false,
+            removed: false,
             load,
             monitor: monitor::Monitor::default(),
             connections: connections::Tracker::default(),
@@ -116,13 +119,14 @@
     pub fn update_spec(&mut self, spec: inventory::Server) {
         self.load.slots = spec.slots;
         self.load.local = spec.local;
+        self.removed = false;
         self.spec = spec;
     }
 
-    /// Whether the server is leaving and receives no new requests.
+    /// Whether the server is leaving or removed, and receives no new requests.
     #[must_use]
     pub fn is_leaving(&self) -> bool {
-        self.announced_leaving || self.spec.leaving
+        self.announced_leaving || self.spec.leaving || self.removed
     }
 
     /// Whether the server may still be slow because of a cold start.
--- a/crates/policy/src/balancer/finish.rs
+++ b/crates/policy/src/balancer/finish.rs
@@ -154,6 +154,7 @@
             backend.load.record_shed(now, completion.retry_after);
             backend.announced_leaving |= leaving;
         }
+        backend.removed |= completion.outcome == outcome::Outcome::Removed;
         if in_flight.is_trial {
             self.finish_trial(now, index, in_flight, completion.outcome, actions);
             return;
@@ -284,6 +285,9 @@
         };
         pending.attempts.retain(|&a| a != attempt);
         pending.may_have_run |= completion.outcome.execution() == outcome::Execution::Unknown;
+        if completion.outcome == outcome::Outcome::Removed {
+            pending.tried_servers.retain(|&s| s != in_flight.server);
+        }
         if let outcome::Outcome::Answered(_) | outcome::Outcome::Cancelled = completion.outcome {
             let others = std::mem::take(&mut pending.attempts);
             self.requests.remove(&request);
@@ -320,7 +324,8 @@
             && !in_flight.fingerprint.is_some_and(quarantined)
             && pending.tried_servers.len() < arrival.max_attempts as usize
             && now + self.expected_head_time() <= arrival.deadline
-            && self.budget.withdraw_retry()
+            // An attempt at a removed server was not sent and adds no load to the service.
+            && (completion.outcome == outcome::Outcome::Removed || self.budget.withdraw_retry())
     }
 
     /// The reason for refusing a request that is not retried.
--- a/crates/policy/src/outcome.rs
+++ b/crates/policy/src/outcome.rs
@@ -42,6 +42,8 @@
     },
     /// No byte of the request was written to the socket.
     Unsent,
+    /// The server was removed from the configuration before a connection was chosen.
+    Removed,
     /// The connection failed after bytes were sent and before the response was complete.
     Broken,
     /// No response head was received in time.
@@ -57,7 +59,9 @@
     #[must_use]
     pub fn execution(self) -> Execution {
         match self {
-            Self::Shed { .. } | Self::Unsent | Self::Misdirected => Execution::NotRun,
+            Self::Shed { .. } | Self::Unsent | Self::Removed | Self::Misdirected => {
+                Execution::NotRun
+            }
             _ => Execution::Unknown,
         }
     }
--- a/crates/policy/src/selector.rs
+++ b/crates/policy/src/selector.rs
@@ -321,6 +321,9 @@
         };
         pending.attempts.retain(|&a| a != attempt);
         pending.may_have_run |= completion.outcome.execution() == outcome::Execution::Unknown;
+        if completion.outcome == outcome::Outcome::Removed {
+            pending.tried_servers.retain(|&s| s != in_flight.server);
+        }
         if let outcome::Outcome::Answered(_) | outcome::Outcome::Cancelled = completion.outcome {
             let others = std::mem::take(&mut pending.attempts);
             self.requests.remove(&in_flight.request);
@@ -353,7 +356,10 @@
             && !is_poison
             && now < arrival.deadline;
         // An attempt that was not sent adds no load to the service.
-        let is_unsent = completion.outcome == outcome::Outcome::Unsent;
+        let is_unsent = matches!(
+            completion.outcome,
+            outcome::Outcome::Unsent | outcome::Outcome::Removed
+        );
         let target = if may_retry && (is_unsent || self.budget.allows_retry(now, self.daemons)) {
             self.select_server(now, &pending)
         } else {
--- a/crates/policy/src/selector/evidence.rs
+++ b/crates/policy/src/selector/evidence.rs
@@ -74,6 +74,7 @@
                 server.announced_leaving |= leaving;
             }
             outcome::Outcome::Misdirected => server.replaced = true,
+            outcome::Outcome::Removed => server.removed = true,
             outcome::Outcome::Unsent => server.record_unreachable(now),
             outcome::Outcome::Timeout | outcome::Outcome::Cancelled => {}
         }
--- a/crates/policy/src/selector/server.rs
+++ b/crates/policy/src/selector/server.rs
@@ -94,6 +94,8 @@
     pub announced_leaving: bool,
     /// Whether another server was found at its address.
     pub replaced: bool,
+    /// Whether the configuration no longer has the server and the next inventory is outstanding.
+    pub removed: bool,
     belief: belief::Belief,
     /// Time of the last evidence, or of the last attempt, which will yield evidence.
     last_evidence_at: time::Time,
@@ -127,6 +129,7 @@
         Self {
             announced_leaving: false,
             replaced: false,
+            removed: false,
             belief: belief::Belief::new(now),
             last_evidence_at: time::Time::ZERO,
             in_flight: 0,
@@ -155,13 +158,14 @@
         if spec.remaining_warm_up != self.spec.remaining_warm_up {
             self.warm_up_ends_at = now + spec.remaining_warm_up;
         }
+        self.removed = false;
         self.spec = spec;
         self
     }
 
     /// Whether the server accepts no new requests.
     pub fn is_unavailable(&self) -> bool {
-        self.spec.leaving || self.announced_leaving || self.replaced
+        self.spec.leaving || self.announced_leaving || self.replaced || self.removed
     }
 
     /// Attempts in flight, of this daemon and its peers.
--- a/crates/policy/tests/balancer/invariants.rs
+++ b/crates/policy/tests/balancer/invariants.rs
@@ -234,6 +234,7 @@
             outcome::Outcome::Answered(500),
             outcome::Outcome::Shed { leaving: false },
             outcome::Outcome::Unsent,
+            outcome::Outcome::Removed,
             outcome::Outcome::Broken,
             outcome::Outcome::Timeout,
             outcome::Outcome::Garbled,
--- a/crates/policy/tests/balancer/retry.rs
+++ b/crates/policy/tests/balancer/retry.rs
@@ -3,7 +3,7 @@
 
 use std::time::Duration;
 
-use monsooncart_policy::{action, event, outcome, retry};
+use monsooncart_policy::{action, event, handle, outcome, retry};
 
 use crate::fixture::{self, MS};
 
@@ -66,6 +66,7 @@
 fn unrepeatable_requests_that_were_not_run_are_retried_elsewhere() {
     let outcomes = [
         outcome::Outcome::Unsent,
+        outcome::Outcome::Removed,
         outcome::Outcome::Shed { leaving: false },
     ];
     for outcome in outcomes {
@@ -80,6 +81,22 @@
     }
 }
 
+#[test]
+fn a_removed_server_uses_up_neither_an_attempt_nor_the_retry_budget() {
+    let mut harness = fixture::harness(40, 2);
+    let mut sent = fixture::sends(&harness.arrive_unrepeatable());
+    let mut tried = Vec::new();
+
+    while let Some(next) = sent.pop() {
+        tried.push(next.server);
+        let actions = harness.finish(next.attempt, outcome::Outcome::Removed);
+        sent = fixture::sends(&actions);
+    }
+
+    tried.sort_unstable_by_key(|server| server.0);
+    assert_eq!(tried, (0..40).map(handle::Server).collect::<Vec<_>>());
+}
+
 #[test]
 fn an_exhausted_budget_refuses_at_once() {
     let mut harness = fixture::harness(3, 6);
--- a/crates/policy/tests/selector/invariants.rs
+++ b/crates/policy/tests/selector/invariants.rs
@@ -19,6 +19,7 @@
 /// Expected state of an attempt in flight.
 struct InFlight {
     request: handle::Request,
+    server: handle::Server,
     cancelled: bool,
 }
 
@@ -26,6 +27,8 @@
 struct Model {
     requests: map::Map<handle::Request, Request>,
     attempts: map::Map<handle::Attempt, InFlight>,
+    /// Servers reported as removed since the last inventory.
+    removed: map::Set<handle::Server>,
 }
 
 impl Model {
@@ -53,6 +56,7 @@
                         !known.servers.contains(server),
                         "sent to the same server twice"
                     );
+                    assert!(!self.removed.contains(server), "sent to a removed server");
                     known.servers.push(*server);
                     assert!(
                         known.servers.len() <= 2,
@@ -60,6 +64,7 @@
                     );
                     let in_flight = InFlight {
                         request: *request,
+                        server: *server,
                         cancelled: false,
                     };
                     self.attempts.insert(*attempt, in_flight);
@@ -120,6 +125,7 @@
                 3 => {
                     let mut servers: Vec<_> = (0..5).map(fixture::server).collect();
                     servers.retain(|_| u.ratio(3, 4).unwrap_or(true));
+                    model.removed.clear();
                     harness.handle(fixture::inventory(servers))
                 }
                 _ if in_flight.is_empty() => Vec::new(),
@@ -130,6 +136,7 @@
                         outcome::Outcome::Failed(500),
                         outcome::Outcome::Broken,
                         outcome::Outcome::Unsent,
+                        outcome::Outcome::Removed,
                         outcome::Outcome::Misdirected,
                         outcome::Outcome::Shed { leaving: false },
                         outcome::Outcome::Timeout,
@@ -142,6 +149,12 @@
                         .requests
                         .get_mut(&finished.request)
                         .expect("request is known");
+                    if outcome == outcome::Outcome::Removed {
+                        // The proxy sent nothing; the server is not chosen again before an
+                        // inventory has it.
+                        known.servers.retain(|s| *s != finished.server);
+                        model.removed.insert(finished.server);
+                    }
                     known.may_have_run |= outcome.execution() == outcome::Execution::Unknown;
                     if matches!(outcome, outcome::Outcome::Answered(_)) && !finished.cancelled {
                         known.results += 1;
--- a/crates/policy/tests/selector/outcomes.rs
+++ b/crates/policy/tests/selector/outcomes.rs
@@ -27,6 +27,7 @@
 fn a_request_that_was_not_executed_is_retried_at_another_server() {
     for outcome in [
         outcome::Outcome::Unsent,
+        outcome::Outcome::Removed,
         outcome::Outcome::Misdirected,
         outcome::Outcome::Shed { leaving: false },
     ] {
@@ -40,6 +41,42 @@
     }
 }
 
+#[test]
+fn a_removed_server_uses_up_neither_an_attempt_nor_the_retry_budget() {
+    let mut harness = fixture::harness((0..40).map(fixture::server).collect());
+    let mut arrival = harness.arrival(false);
+    arrival.max_attempts = 1;
+    let mut sent = fixture::sent_attempts(&harness.handle(event::Event::Arrive(arrival)));
+    let mut tried = Vec::new();
+
+    while let Some(next) = sent.pop() {
+        tried.push(next.server);
+        let actions = harness.finish(next.attempt, outcome::Outcome::Removed);
+        sent = fixture::sent_attempts(&actions);
+        if sent.is_empty() {
+            let refusal = fixture::refusals(&actions)[0];
+            assert_eq!(refusal.execution, outcome::Execution::NotRun);
+            assert_eq!(refusal.reason, outcome::Reason::NoServer);
+        }
+    }
+
+    tried.sort_unstable_by_key(|server| server.0);
+    assert_eq!(tried, (0..40).map(handle::Server).collect::<Vec<_>>());
+}
+
+#[test]
+fn a_removed_server_receives_requests_again_once_an_inventory_has_it() {
+    let mut harness = fixture::harness(vec![fixture::server(0)]);
+    let sent = fixture::sent_attempts(&harness.arrive(false))[0];
+    harness.finish(sent.attempt, outcome::Outcome::Removed);
+    let refused = fixture::refusals(&harness.arrive(false)).len();
+
+    harness.handle(fixture::inventory(vec![fixture::server(0)]));
+
+    let sent = fixture::sent_attempts(&harness.arrive(false));
+    assert_eq!((refused, sent.len()), (1, 1));
+}
+
 #[test]
 fn a_request_that_every_permitted_server_shed_is_refused_as_not_run_with_a_retry_delay() {
     let mut harness = fixture::harness((0..4).map(fixture::server).collect());
--- a/crates/proxy/src/metrics.rs
+++ b/crates/proxy/src/metrics.rs
@@ -122,6 +122,7 @@
             outcome::Outcome::Shed { .. } => "shed",
             outcome::Outcome::Misdirected => "misdirected",
             outcome::Outcome::Unsent => "unsent",
+            outcome::Outcome::Removed => "removed",
             outcome::Outcome::Broken => "broken",
             outcome::Outcome::Timeout => "timeout",
             outcome::Outcome::Garbled => "garbled",
--- a/crates/proxy/src/service.rs
+++ b/crates/proxy/src/service.rs
@@ -306,9 +306,10 @@
                 fresh_connection,
                 grounds,
             } => {
-                let server = self.active_config.load().servers.get(&server).cloned();
+                let target = self.active_config.load().servers.get(&server).cloned();
                 let pending = state.pending.get(&request);
-                let sent = pending.zip(server).is_some_and(|(pending, server)| {
+                let removed = pending.is_some() && target.is_none();
+                let sent = pending.zip(target).is_some_and(|(pending, server)| {
                     let command = Command::Send {
                         attempt,
                         server,
@@ -319,14 +320,20 @@
                 });
                 if sent {
                     state.attempts.insert(attempt, request);
-                } else {
-                    events.push_back(event::Event::Finish {
-                        attempt,
-                        outcome: outcome::Outcome::Cancelled,
-                        replayable: is_pending(state, request),
-                        retry_after: None,
-                    });
+                    return;
+                }
+                if removed {
+                    log::info!(service:% = self.name, request = request.0, server = server.0; "proxy: chosen server was removed before the send");
                 }
+                events.push_back(event::Event::Finish {
+                    attempt,
+                    outcome: match removed {
+                        true => outcome::Outcome::Removed,
+                        false => outcome::Outcome::Cancelled,
+                    },
+                    replayable: is_pending(state, request),
+                    retry_after: None,
+                });
             }
             action::Action::Refuse { request, refusal } => {
                 if let Some(pending) = state.pending.get(&request) {
--- a/crates/proxy/tests/all/policy_actions.rs
+++ b/crates/proxy/tests/all/policy_actions.rs
@@ -310,6 +310,37 @@
     assert_eq!(backend.starts().count, 0);
 }
 
+#[tokio::test]
+async fn send_to_a_removed_server_is_reported_as_removed_and_another_one_responds() {
+    const REMOVED_SERVER: u32 = 7;
+    let arrival = Mutex::new(None);
+    let policies = ScriptedPolicies::new(move |event, _| {
+        let mut arrival = arrival.lock().unwrap_or_else(PoisonError::into_inner);
+        match event {
+            event::Event::Finish {
+                outcome: outcome::Outcome::Removed,
+                ..
+            } => arrival
+                .take()
+                .map_or_else(Vec::new, |arrival| send_actions(&arrival, &[0], false)),
+            event::Event::Arrive(_) => {
+                *arrival = Some(event.clone());
+                send_actions(event, &[REMOVED_SERVER], false)
+            }
+            _ => Vec::new(),
+        }
+    });
+    let backend = fixture::start_backend("server-0").await;
+    let proxy = start_proxy(&[backend.address()], &policies).await;
+
+    let response = fixture::send(proxy.address, fixture::request("GET", "/items/1", "")).await;
+
+    fixture::wait_until("completion", || policies.outcomes().len() == 2).await;
+    let removed = (u64::from(REMOVED_SERVER), outcome::Outcome::Removed);
+    assert_eq!(policies.outcomes()[0], removed);
+    assert_eq!(response.status, 200);
+}
+
 #[tokio::test]
 async fn events_from_the_rest_of_the_daemon_reach_the_policy() {
     let policies = ScriptedPolicies::new(|_, _| Vec::new());
