Spread the routing in parts along a tree of members

Cause: the routing is one object. Each change, be it one weight, sent the whole table to every daemon, all of them from the data centre's watcher at once, over links of 10 to 20 Mbit/s that also carry callers' responses; a pull that did not end within its second began anew.

Ruled out: suspicions. No daemon is suspected before the change.

Change: routes and services are hashed into parts that are known by the digest of their content, listed in a manifest (config::routing::part). A daemon fetches the manifest and the parts it lacks from its parent in a tree over the members, strong ones first (policy::rollout::tree), goes on with another source where one fails (policy::rollout::transfer), passes on each part as it arrives, at 0.4 of its link at most (policy::rollout::pacer), and stores the version as one change.

With it: failed calls between daemons are logged with method and peer; tarpc's own "DeadlineExceeded", which names neither, is off. Metrics of the bytes of parts.

Tests: search over losses, restarts, a silent member and versions that overtake each other, which finds a violation with completeness, fallback or order switched off; the tree; the pacer; parts; real engines, where each daemon receives each part once and a change of one route costs less than a tenth of the table. The last one failed before in kind: pulls had no parts, each daemon received the whole table for each change.

--- a/crates/cluster/src/call.rs
+++ b/crates/cluster/src/call.rs
@@ -42,6 +42,8 @@
     Floor,
     /// Reconciliation of members and retained updates.
     Sync,
+    /// Request for parts of the routing.
+    Parts,
 }
 
 /// Whether the peer may have received the request of a failed call.
--- a/crates/cluster/src/client.rs
+++ b/crates/cluster/src/client.rs
@@ -98,6 +98,8 @@
     floor, Floor, floor::Request => floor::Reply;
     /// Reconciles the membership tables and the retained updates.
     sync, Sync, sync::Request => sync::Reply;
+    /// Requests parts of the routing.
+    parts, Parts, configuration::PartsRequest => configuration::PartsReply;
 }
 
 impl Client {
@@ -181,6 +183,8 @@
             Ok(Err(error)) => error.to_string(),
             Err(_) => format!("no reply within {timeout:?}"),
         };
+        // tarpc's own message names neither the method nor the peer.
+        log::info!(method:% = method, peer = failure.peer, reason; "peer: call failed");
         self.shared.pool.discard(address, &pooled).await;
         Err(call::Error {
             step: call::Step::Exchange,
--- a/crates/cluster/src/config.rs
+++ b/crates/cluster/src/config.rs
@@ -112,6 +112,7 @@
     pub(crate) source: Arc<dyn source::Source>,
     pub(crate) handler: Arc<dyn handler::Handler>,
     pub(crate) admit_any: bool,
+    pub(crate) upload_bytes_per_second: f64,
     pub(crate) timings: Timings,
 }
 
@@ -136,6 +137,7 @@
             source: Arc::new(source::Native),
             handler,
             admit_any: false,
+            upload_bytes_per_second: 0.0,
             timings: Timings::default(),
         }
     }
@@ -196,6 +198,14 @@
         self
     }
 
+    /// Limits the rate at which the routing is served to other daemons, in bytes per second; zero
+    /// means no limit.
+    #[must_use]
+    pub fn upload_bytes_per_second(mut self, rate: f64) -> Self {
+        self.upload_bytes_per_second = rate;
+        self
+    }
+
     /// Replaces the default timings.
     #[must_use]
     pub fn timings(mut self, timings: Timings) -> Self {
--- a/crates/cluster/src/counters.rs
+++ b/crates/cluster/src/counters.rs
@@ -21,6 +21,10 @@
     pub refused: AtomicU64,
     /// Calls to the platform's object API; each watch counts as one.
     pub platform_calls: AtomicU64,
+    /// Bytes of parts of the routing served to other daemons.
+    pub part_bytes_served: AtomicU64,
+    /// Bytes of parts of the routing received from other daemons.
+    pub part_bytes_received: AtomicU64,
     /// Reads of the VM list.
     pub vm_list_reads: AtomicU64,
     /// Deliveries of updates dropped because of the limit on concurrent calls.
--- a/crates/cluster/src/engine.rs
+++ b/crates/cluster/src/engine.rs
@@ -6,6 +6,7 @@
 
 use arc_swap::ArcSwap;
 use monsooncart_policy::membership::{event, member, protocol};
+use monsooncart_policy::rollout::pacer;
 use monsooncart_types::{instance, time};
 use monsooncart_wire::{hello, update};
 use tokio::sync::{Notify, Semaphore, watch};
@@ -99,6 +100,7 @@
             handler: config.handler,
             replica: Arc::default(),
             freshness: spread::freshness::Freshness::default(),
+            upload_pacer: Mutex::new(pacer::Pacer::new(config.upload_bytes_per_second)),
             seeds: config.seeds,
             timings: config.timings,
             counters,
--- a/crates/cluster/src/server.rs
+++ b/crates/cluster/src/server.rs
@@ -7,7 +7,7 @@
 use monsooncart_wire::{claims, configuration, floor, peer, sync, update, usage};
 use tarpc::context::Context;
 
-use crate::shared;
+use crate::{shared, spread};
 
 /// Serves the calls of one connection.
 #[derive(Clone)]
@@ -68,4 +68,12 @@
     async fn sync(self, _: Context, request: sync::Request) -> sync::Reply {
         self.shared.answer_sync(request)
     }
+
+    async fn parts(
+        self,
+        _: Context,
+        request: configuration::PartsRequest,
+    ) -> configuration::PartsReply {
+        spread::serve::answer_parts(&self.shared, request).await
+    }
 }
--- a/crates/cluster/src/shared.rs
+++ b/crates/cluster/src/shared.rs
@@ -8,6 +8,7 @@
 use arc_swap::ArcSwap;
 use monsooncart_policy::membership::{action, event, member, protocol, record};
 use monsooncart_policy::rank;
+use monsooncart_policy::rollout::pacer;
 use monsooncart_store::{store, vms};
 use monsooncart_types::{instance, map, time};
 use monsooncart_wire::{configuration, datagram, frame, sync, update};
@@ -34,6 +35,11 @@
     counter.fetch_add(1, Ordering::Relaxed);
 }
 
+/// Adds a number of bytes to a counter.
+pub(crate) fn add(counter: &AtomicU64, bytes: usize) {
+    counter.fetch_add(bytes as u64, Ordering::Relaxed);
+}
+
 pub(crate) struct Shared {
     pub(crate) local: member::Member,
     pub(crate) bound_address: net::SocketAddr,
@@ -54,6 +60,8 @@
     pub(crate) handler: Arc<dyn handler::Handler>,
     pub(crate) replica: Arc<spread::held::Replica>,
     pub(crate) freshness: spread::freshness::Freshness,
+    /// Bounds the rate at which parts of the routing are served.
+    pub(crate) upload_pacer: Mutex<pacer::Pacer>,
     pub(crate) seeds: Vec<net::SocketAddr>,
     pub(crate) timings: config::Timings,
     pub(crate) counters: Arc<counters::Counters>,
--- a/crates/cluster/src/spread.rs
+++ b/crates/cluster/src/spread.rs
@@ -2,7 +2,8 @@
 //!
 //! A few daemons of each region, chosen by rank, watch the platform's objects. The others receive
 //! announcements of new versions by gossip, reconcile their replica with random peers, and pull
-//! what is newer. A replica accepts only newer versions of an object, so that the configuration
+//! what is newer. The routing, which can be large, is fetched in parts that are passed on along a
+//! distribution tree ([`fetch`], [`serve`]). A replica accepts only newer versions of an object, so that the configuration
 //! never reverts, whichever messages arrive and from whom.
 
 pub mod freshness;
@@ -10,15 +11,19 @@
 pub mod source;
 
 mod compare;
+mod fetch;
+pub(crate) mod serve;
+pub(crate) mod staging;
 mod watch;
 
 use std::sync::Arc;
 
 use crate::shared;
 
-/// Starts the reconciliation task and, with a store, one watch per key prefix.
+/// Starts the reconciliation task, the task that fetches the routing and, with a store, one watch per key prefix.
 pub(crate) fn start(shared: &Arc<shared::Shared>) {
     shared.spawn(compare::run(shared.clone()));
+    shared.spawn(fetch::run(shared.clone()));
     if let Some(store) = shared.store.clone() {
         for prefix in shared.source.prefixes() {
             let watch = watch::Watch::new(shared.clone(), store.clone(), prefix);
--- a/crates/cluster/src/spread/compare.rs
+++ b/crates/cluster/src/spread/compare.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use futures_util::future;
+use monsooncart_config::object;
 use monsooncart_policy::membership::member;
 use monsooncart_policy::rank;
 use monsooncart_wire::configuration;
@@ -208,10 +209,18 @@
         .versions
         .into_iter()
         .filter(|object| object.version > stored(object));
-    let requested = newer.map(|object| configuration::ObjectVersion {
-        version: stored(&object),
-        ..object
-    });
+    let (routing, newer): (Vec<_>, Vec<_>) =
+        newer.partition(|object| object.key == object::Key::Routing);
+    for object in routing {
+        let replica = &shared.replica;
+        replica.record_announcement(&object.key, object.version, peer.peers);
+    }
+    let requested = newer
+        .into_iter()
+        .map(|object| configuration::ObjectVersion {
+            version: stored(&object),
+            ..object
+        });
     let requested: Vec<_> = requested.collect();
     pull(shared, client, requested).await
 }
--- a/crates/cluster/src/spread/held.rs
+++ b/crates/cluster/src/spread/held.rs
@@ -11,6 +11,8 @@
 use monsooncart_wire::configuration;
 use tokio::sync::{Notify, watch};
 
+use super::staging;
+
 /// Number of hash buckets of a digest; for each one that differs, the peer sends the keys and
 /// versions of its objects.
 pub const BUCKETS: usize = 64;
@@ -68,6 +70,8 @@
     changes: watch::Sender<u64>,
     announced: Mutex<map::Map<object::Key, Announcement>>,
     pub(crate) announcement_received: Notify,
+    /// Parts of the routing.
+    pub(crate) staging: staging::Staging,
 }
 
 fn bucket(key: &str) -> usize {
@@ -164,6 +168,10 @@
         if current.is_some_and(|current| current >= version) {
             return;
         }
+        if *key == object::Key::Routing {
+            self.staging.want(staging::Wanted { version, holder });
+            return;
+        }
         let mut announced = self.lock_announced();
         if announced.len() >= MAX_ANNOUNCED && !announced.contains_key(key) {
             return;
@@ -183,6 +191,12 @@
         self.announcement_received.notify_one();
     }
 
+    /// The version of the routing to fetch; `None` if none is newer than the stored one.
+    pub(crate) fn wanted_routing(&self) -> Option<staging::Wanted> {
+        let stored = self.snapshot().version(&object::Key::Routing);
+        self.staging.wanted(stored.unwrap_or(0))
+    }
+
     /// The announced objects whose announced version is not stored, with their stored versions.
     /// Discards announcements whose version is stored or that have expired.
     pub(crate) fn missing_objects(&self) -> Vec<configuration::ObjectVersion> {
--- a/crates/cluster/tests/engine/dissemination.rs
+++ b/crates/cluster/tests/engine/dissemination.rs
@@ -12,7 +12,7 @@
 use crate::fixture::{self, Daemon};
 use crate::platform::{self, Platform};
 
-async fn start(name: &str, seeds: Vec<net::SocketAddr>, platform: &Platform) -> Daemon {
+pub async fn start(name: &str, seeds: Vec<net::SocketAddr>, platform: &Platform) -> Daemon {
     let recorder = fixture::recorder();
     let config = fixture::settings(name, &recorder);
     let config = config.seeds(seeds).store(platform.outage.clone());
@@ -20,7 +20,7 @@
     Daemon { engine, recorder }
 }
 
-async fn fleet(count: usize, platform: &Platform) -> Vec<Daemon> {
+pub async fn fleet(count: usize, platform: &Platform) -> Vec<Daemon> {
     let first = start("vm-0", Vec::new(), platform).await;
     let seed = first.engine.local().peers;
     let mut daemons = vec![first];
@@ -35,11 +35,11 @@
     daemons
 }
 
-fn stores(engine: &engine::Engine, key: &object::Key, version: u64) -> bool {
+pub fn stores(engine: &engine::Engine, key: &object::Key, version: u64) -> bool {
     engine.replica().snapshot().version(key) == Some(version)
 }
 
-async fn wait_until_stored(daemons: &[Daemon], key: &object::Key, version: u64) {
+pub async fn wait_until_stored(daemons: &[Daemon], key: &object::Key, version: u64) {
     for daemon in daemons {
         let stored = || stores(&daemon.engine, key, version);
         fixture::eventually("configuration stored", stored).await;
--- a/crates/cluster/tests/engine/main.rs
+++ b/crates/cluster/tests/engine/main.rs
@@ -10,3 +10,4 @@
 mod lifecycle;
 mod platform;
 mod regions;
+mod routing;
--- a/crates/config/src/routing.rs
+++ b/crates/config/src/routing.rs
@@ -3,6 +3,8 @@
 //! A request is matched by its host and the longest prefix of its path. Its route refers to one
 //! service, or to several with weights.
 
+pub mod part;
+
 use monsooncart_types::{id, map, size, span};
 
 /// Routes, the services they refer to, and limits of callers' requests.
--- a/crates/daemon/src/components.rs
+++ b/crates/daemon/src/components.rs
@@ -169,6 +169,9 @@
             .secret(secret)
             .store(platform.store)
             .timings(timings);
+        if let Some(gateway) = &settings.gateway {
+            config = config.upload_bytes_per_second(gateway::upload_bytes_per_second(gateway));
+        }
         config = match protocols {
             // Without a VM list, members find each other by seeds and gossip alone.
             Some(protocols) => config
--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -69,6 +69,13 @@
 /// Bandwidth used per core, in Mbit/s: about 700 requests per second of 70 KB each.
 const LINK_MBPS_PER_CORE: f64 = 400.0;
 
+/// Share of the link on which the routing is served to other daemons; the rest is left for
+/// callers' responses and membership probes.
+const UPLOAD_LINK_SHARE: f64 = 0.4;
+
+/// Bytes per second of one Mbit/s.
+const BYTES_PER_SECOND_PER_MBPS: f64 = 125_000.0;
+
 /// Timeout for connecting to a server in the same region.
 const SERVER_CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 
@@ -173,6 +180,13 @@
     (cores * 1000.0) as u32
 }
 
+/// Maximum rate at which the routing is served to other daemons, in bytes per second; zero means no
+/// limit.
+#[must_use]
+pub fn upload_bytes_per_second(gateway: &settings::Gateway) -> f64 {
+    gateway.link_mbps * BYTES_PER_SECOND_PER_MBPS * UPLOAD_LINK_SHARE
+}
+
 /// Region of the daemon for membership. In gateway deployments it is the data centre, as members
 /// probe each other only inside their region and traffic between data centres costs the most.
 #[must_use]
--- a/crates/daemon/src/logging.rs
+++ b/crates/daemon/src/logging.rs
@@ -177,7 +177,7 @@
     thread::Builder::new()
         .name("log".to_owned())
         .spawn(move || run_writer(&receiver, &dropped))?;
-    let environment = env_logger::Env::default().default_filter_or("info,tarpc=warn");
+    let environment = env_logger::Env::default().default_filter_or("info,tarpc=off");
     env_logger::Builder::from_env(environment)
         .target(env_logger::Target::Pipe(Box::new(queue)))
         .write_style(env_logger::WriteStyle::Never)
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -31,7 +31,7 @@
 }
 
 /// Name, help text and source of each metric.
-const COUNTERS: [(&str, &str, Read); 6] = [
+const COUNTERS: [(&str, &str, Read); 8] = [
     (
         "monsooncart_store_calls_total",
         "Calls of the platform's store, a waiting watch as one.",
@@ -52,6 +52,16 @@
         "Bytes of calls sent to other daemons.",
         |core| read_cluster(core, |c| c.call_bytes_sent.load(Ordering::Relaxed)),
     ),
+    (
+        "monsooncart_routing_bytes_served_total",
+        "Bytes of parts of the routing served to other daemons.",
+        |core| read_cluster(core, |c| c.part_bytes_served.load(Ordering::Relaxed)),
+    ),
+    (
+        "monsooncart_routing_bytes_received_total",
+        "Bytes of parts of the routing received from other daemons.",
+        |core| read_cluster(core, |c| c.part_bytes_received.load(Ordering::Relaxed)),
+    ),
     (
         "monsooncart_news_dropped_total",
         "News not told since too many calls were running.",
--- a/crates/policy/src/membership/member.rs
+++ b/crates/policy/src/membership/member.rs
@@ -5,6 +5,7 @@
 use monsooncart_types::{id, instance};
 
 use crate::rank;
+use crate::rollout::tree;
 
 /// State of a member.
 #[derive(
@@ -88,3 +89,9 @@
         &self.vm
     }
 }
+
+impl tree::Node for Member {
+    fn capacity(&self) -> u32 {
+        self.capacity
+    }
+}
--- a/crates/policy/src/rollout.rs
+++ b/crates/policy/src/rollout.rs
@@ -5,7 +5,13 @@
 //! differ, the entries of the differing buckets determine which objects to pull. Pairwise
 //! reconciliation along any path therefore brings every accepted version to all daemons, even while
 //! the platform is unavailable.
+//!
+//! An object that is too large for one reply is transferred in parts ([`transfer`]), along a tree of
+//! members ([`tree`]) and at a limited rate ([`pacer`]).
 
 pub mod digest;
 pub mod entry;
+pub mod pacer;
+pub mod transfer;
+pub mod tree;
 pub mod versions;
--- a/crates/policy/tests/rollout/main.rs
+++ b/crates/policy/tests/rollout/main.rs
@@ -1,6 +1,10 @@
 //! Versions of configuration objects: only newer ones are stored, and two daemons that reconcile
 //! converge.
 
+mod pacer;
+mod transfer;
+mod tree;
+
 use monsooncart_policy::rollout::{entry, versions};
 
 fn version(number: u64) -> entry::Version {
--- a/crates/testbed/src/main.rs
+++ b/crates/testbed/src/main.rs
@@ -34,7 +34,7 @@
     // The daemons of an experiment run in its process and would log between its results.
     let filter = match command {
         Command::ControlPoint(_) | Command::Experiment(_) | Command::Soak(_) => "error",
-        _ => "info,tarpc=warn",
+        _ => "info,tarpc=off",
     };
     env_logger::Builder::from_env(env_logger::Env::default().default_filter_or(filter)).init();
     match command {
--- a/crates/testbed/src/soak/daemon.rs
+++ b/crates/testbed/src/soak/daemon.rs
@@ -97,7 +97,7 @@
         let spawned = Command::new(&self.program_path)
             .arg("run")
             .arg(&self.settings_path)
-            .env("RUST_LOG", "info,tarpc=warn")
+            .env("RUST_LOG", "info,tarpc=off")
             .stdin(Stdio::null())
             .stdout(log)
             .stderr(errors)
--- a/crates/wire/src/configuration.rs
+++ b/crates/wire/src/configuration.rs
@@ -1,6 +1,10 @@
 //! Calls for the anti-entropy reconciliation of configuration objects.
 
+use std::net::SocketAddr;
+
+use bytes::Bytes;
 use monsooncart_config::object;
+use monsooncart_config::routing::part;
 
 /// A configuration object and the version stored by a daemon.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, serde::Serialize, serde::Deserialize)]
@@ -56,3 +60,33 @@
     /// Whether further requested objects are newer.
     pub more: bool,
 }
+
+/// Requests parts of a version of the routing.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct PartsRequest {
+    /// Version of the object that the caller transfers.
+    pub version: u64,
+    /// Peer listener of a daemon that stores this version.
+    pub holder: SocketAddr,
+    /// The requested parts; `None` if the caller does not have the manifest.
+    pub parts: Option<Vec<part::Digest>>,
+}
+
+/// The manifest of a version of the routing.
+#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
+pub struct Manifest {
+    /// Version of the object.
+    pub version: u64,
+    /// List of the parts.
+    pub manifest: part::Manifest,
+}
+
+/// What the callee has of the requested version; empty if it has nothing that the caller lacks, or
+/// no bandwidth to send it.
+#[derive(Clone, Debug, Default, PartialEq, serde::Serialize, serde::Deserialize)]
+pub struct PartsReply {
+    /// The manifest, if the caller does not have it or the callee has one of a newer version.
+    pub manifest: Option<Manifest>,
+    /// Contents of requested parts, limited in size.
+    pub contents: Vec<Bytes>,
+}
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -34,6 +34,8 @@
     async fn floor(request: floor::Request) -> floor::Reply;
     /// Reconciles the membership tables and the retained updates.
     async fn sync(request: sync::Request) -> sync::Reply;
+    /// Returns parts of the routing, or waits briefly for some to arrive.
+    async fn parts(request: configuration::PartsRequest) -> configuration::PartsReply;
 }
 
 /// Maximum time until the deadline of a request. tarpc panics on a deadline that overflows
--- a/src/main.rs
+++ b/src/main.rs
@@ -45,7 +45,7 @@
     if let Command::Run(_) = command {
         return logging::start();
     }
-    let environment = env_logger::Env::default().default_filter_or("info,tarpc=warn");
+    let environment = env_logger::Env::default().default_filter_or("info,tarpc=off");
     env_logger::Builder::from_env(environment)
         .try_init()
         .map_err(std::io::Error::other)
