Take no object from a peer that the platform has removed

Cause: what a daemon lists at its start says which objects there are, but anti-entropy then took every object that it did not know from any peer. A peer that was cut off from the platform still had a server that had left; a daemon that was restarted listed the servers without it, took it from the peer and used it again, until a watcher's next listing.

Ruled out: dropping unknown objects at once. Entries that expired in an outage of the store reappear within two seconds, and peers retain them for that time; a listing right after the outage lacks them.

Change: a listing is recorded with its revision. An object from a peer that is older than the listing and was not in it is left out for the retention, and afterwards its removal is stored at the listing's revision, which reaches the peer as well.

Tests, failed with the rule off: dissemination::an_object_that_the_platform_ has_removed_is_not_taken_from_a_peer, a_removed_object_is_not_in_use_again_ after_a_restart (engines, a peer cut off from the platform). Two more for the retention and for newer objects.

--- a/crates/cluster/src/shared.rs
+++ b/crates/cluster/src/shared.rs
@@ -6,6 +6,7 @@
 use std::time::{Duration, Instant};
 
 use arc_swap::ArcSwap;
+use monsooncart_config::object;
 use monsooncart_policy::membership::{action, event, member, protocol, record};
 use monsooncart_policy::rank;
 use monsooncart_policy::rollout::pacer;
@@ -389,10 +390,20 @@
             self.handler.receive_update(update);
         }
         if !objects.is_empty() {
-            self.replica.merge(objects);
+            self.merge_from_peer(objects);
         }
     }
 
+    /// Stores the newer objects among those that a peer sent.
+    pub(crate) fn merge_from_peer(
+        &self,
+        objects: Vec<spread::held::Object>,
+    ) -> Vec<(object::Key, u64)> {
+        let retention = self.timings.removal_delay;
+        self.replica
+            .merge_from_peer(objects, self.source.as_ref(), retention)
+    }
+
     /// Publishes an update to the whole fleet: immediately to this region and to a delegate of each
     /// other region, by gossip to the rest.
     pub(crate) fn publish(self: &Arc<Self>, update: update::Update) {
--- a/crates/cluster/src/spread/compare.rs
+++ b/crates/cluster/src/spread/compare.rs
@@ -247,7 +247,7 @@
             version: o.version,
             value: o.value,
         });
-        any_stored |= !shared.replica.merge(objects.collect()).is_empty();
+        any_stored |= !shared.merge_from_peer(objects.collect()).is_empty();
         let processed = match (reply.more, last) {
             (true, Some(last)) => requested
                 .iter()
--- a/crates/cluster/src/spread/held.rs
+++ b/crates/cluster/src/spread/held.rs
@@ -11,7 +11,7 @@
 use monsooncart_wire::configuration;
 use tokio::sync::{Notify, watch};
 
-use super::staging;
+use super::{source, staging};
 
 /// Number of hash buckets of a digest; for each one that differs, the peer sends the keys and
 /// versions of its objects.
@@ -52,6 +52,13 @@
     }
 }
 
+/// A complete listing of the platform's objects under a prefix.
+struct Listing {
+    prefix: &'static str,
+    revision: u64,
+    listed_at: Instant,
+}
+
 /// An announced version of an object that is not stored yet.
 struct Announcement {
     version: u64,
@@ -69,6 +76,8 @@
     writer: Mutex<()>,
     changes: watch::Sender<u64>,
     announced: Mutex<map::Map<object::Key, Announcement>>,
+    /// Latest listing of each prefix.
+    listings: Mutex<Vec<Listing>>,
     pub(crate) announcement_received: Notify,
     /// Parts of the routing.
     pub(crate) staging: staging::Staging,
@@ -140,6 +149,59 @@
         merged
     }
 
+    /// Records that the objects under `prefix` were listed completely at `revision` and stored.
+    pub fn record_listing(&self, prefix: &'static str, revision: u64) {
+        let mut listings = self.lock_listings();
+        listings.retain(|listing| listing.prefix != prefix);
+        listings.push(Listing {
+            prefix,
+            revision,
+            listed_at: Instant::now(),
+        });
+    }
+
+    fn lock_listings(&self) -> MutexGuard<'_, Vec<Listing>> {
+        self.listings.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Stores the newer objects among those that a peer sent, like [`Replica::merge`].
+    ///
+    /// An object that is older than this daemon's own listing and was not in it has been removed.
+    /// It is not stored, as the peer may not know of the removal. Objects that expired in an outage
+    /// may reappear within `retention`, so until then it is only left out; afterwards its removal is
+    /// stored in its place, and so reaches the peer.
+    pub fn merge_from_peer(
+        &self,
+        objects: Vec<Object>,
+        source: &dyn source::Source,
+        retention: Duration,
+    ) -> Vec<(object::Key, u64)> {
+        let snapshot = self.snapshot();
+        let listings = self.lock_listings();
+        let judge = |object: Object| {
+            let covers = |l: &&Listing| {
+                l.revision > object.version && source.key(l.prefix, &object.key).is_some()
+            };
+            let is_unknown = snapshot.version(&object.key).is_none();
+            let listing = listings.iter().find(covers).filter(|_| is_unknown);
+            let Some(listing) = listing else {
+                return Some(object);
+            };
+            if listing.listed_at.elapsed() < retention {
+                return None;
+            }
+            log::info!(object:% = object.key, version = object.version, listed = listing.revision; "config: peer has an object that the platform has removed; storing its removal");
+            Some(Object {
+                value: object.key.empty_value(),
+                version: listing.revision,
+                key: object.key,
+            })
+        };
+        let objects = objects.into_iter().filter_map(judge).collect();
+        drop(listings);
+        self.merge(objects)
+    }
+
     fn notify_subscribers(&self, merged: &[(object::Key, u64)]) {
         if merged.is_empty() {
             return;
--- a/crates/cluster/src/spread/watch.rs
+++ b/crates/cluster/src/spread/watch.rs
@@ -210,6 +210,8 @@
                     self.record_answer();
                     objects.extend(self.removals(first_revision, &objects));
                     self.apply(&objects);
+                    let replica = &self.shared.replica;
+                    replica.record_listing(self.prefix, first_revision.0);
                     return Ok(first_revision);
                 }
             }
--- a/crates/cluster/tests/engine/dissemination.rs
+++ b/crates/cluster/tests/engine/dissemination.rs
@@ -4,7 +4,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use monsooncart_cluster::spread::held;
+use monsooncart_cluster::spread::{held, source};
 use monsooncart_cluster::{config, engine};
 use monsooncart_config::{object, zone};
 use monsooncart_policy::membership::timings;
@@ -194,6 +194,93 @@
     });
 }
 
+fn zones_object(version: u64) -> held::Object {
+    held::Object {
+        key: object::Key::Zones,
+        version,
+        value: platform::zones("attica-a"),
+    }
+}
+
+/// A replica that listed the platform's objects at revision 10, without the zones.
+fn replica_after_listing() -> held::Replica {
+    let replica = held::Replica::default();
+    replica.record_listing(object::PREFIX, 10);
+    replica
+}
+
+#[test]
+fn an_object_that_the_platform_has_removed_is_not_taken_from_a_peer() {
+    let replica = replica_after_listing();
+
+    replica.merge_from_peer(vec![zones_object(9)], &source::Native, Duration::ZERO);
+
+    let snapshot = replica.snapshot();
+    assert!(snapshot.zones().is_empty());
+    // The removal has a version, by which it replaces the peer's object.
+    assert_eq!(snapshot.version(&object::Key::Zones), Some(10));
+}
+
+#[test]
+fn an_object_that_may_have_expired_in_an_outage_is_left_out_without_its_removal() {
+    let replica = replica_after_listing();
+    let retention = Duration::from_secs(3600);
+
+    replica.merge_from_peer(vec![zones_object(9)], &source::Native, retention);
+
+    assert_eq!(replica.snapshot().version(&object::Key::Zones), None);
+}
+
+#[test]
+fn an_object_that_is_newer_than_the_listing_is_taken_from_a_peer() {
+    let replica = replica_after_listing();
+
+    replica.merge_from_peer(vec![zones_object(11)], &source::Native, Duration::ZERO);
+    replica.merge_from_peer(vec![zones_object(10)], &source::Native, Duration::ZERO);
+
+    let snapshot = replica.snapshot();
+    assert_eq!(snapshot.version(&object::Key::Zones), Some(11));
+    assert_eq!(snapshot.zones().len(), 1);
+}
+
+#[tokio::test]
+async fn a_removed_object_is_not_in_use_again_after_a_restart() {
+    let platform = Platform::new();
+    let cut_off = platform.other_link();
+    let old = start("vm-0", Vec::new(), &cut_off).await;
+    let version = platform
+        .write(&object::Key::Zones, &platform::zones("attica-a"))
+        .await;
+    let stored = || stores(&old.engine, &object::Key::Zones, version);
+    fixture::eventually("object stored", stored).await;
+    cut_off.set_available(false);
+    let key = object::Key::Zones.to_string();
+    let condition = monsooncart_store::object::Condition::Always;
+    let memory = platform.outage.memory();
+    let removed = monsooncart_store::store::Store::delete(memory.as_ref(), &key, condition);
+    removed.await.unwrap();
+
+    let recorder = fixture::recorder();
+    let timings = config::Timings {
+        reads_at_start: true,
+        removal_delay: Duration::ZERO,
+        ..fixture::timings()
+    };
+    let new = fixture::settings("vm-1", &recorder).timings(timings);
+    let new = new.seeds(vec![old.engine.local().peers]);
+    let new = new.store(platform.outage.clone()).start().await.unwrap();
+    let mut was_in_use = false;
+
+    let removed = || old.engine.replica().snapshot().zones().is_empty();
+    fixture::eventually("removal reached the other daemon", || {
+        was_in_use |= !new.replica().snapshot().zones().is_empty();
+        removed()
+    })
+    .await;
+
+    assert!(!was_in_use);
+}
+
 /// Zones whose value is too large for an announcement.
 fn many_zones(change: usize) -> object::Value {
     let zone = |number| zone::Zone {
