--- a/examples/quickstart.rs
+++ b/examples/quickstart.rs
@@ -12,7 +12,7 @@
 use std::time::Duration;
 
 use monsooncart_daemon::engine;
-use monsooncart_testbed::backend::mode;
+use monsooncart_testbed::backend::{mode, starts};
 use monsooncart_testbed::caller::{options, report, run};
 use monsooncart_testbed::local::{self, plan};
 use monsooncart_types::id;
@@ -147,6 +147,24 @@
         .collect()
 }
 
+/// Prints where each lost purchase was started, and when, relative to the first request that the
+/// gray server did not answer.
+fn print_losses(fleet: &local::Fleet, report: &report::Report, logs: &[starts::Starts]) {
+    let lost = |r: &&report::UnrepeatableRequest| r.outcome == report::Outcome::Lost;
+    for request in report.works.iter().filter(lost) {
+        let servers = fleet.configuration.services[0].servers.iter().zip(logs);
+        let mut starts = servers.flat_map(|(server, log)| {
+            let of_request = log.starts.iter().filter(|start| start.id == request.id);
+            of_request.map(move |start| format!("{} at {} ms", server.name, start.at_millis))
+        });
+        let started = starts.next().unwrap_or_else(|| "no server".to_owned());
+        println!(
+            "purchase {} has no outcome; started by {started}",
+            request.id
+        );
+    }
+}
+
 fn print_summary(
     fleet: &local::Fleet,
     mut report: report::Report,
@@ -166,8 +184,15 @@
         .starts
         .get(starts_before_gray..)
         .unwrap_or_default();
+    if let Some(first) = gray_starts.first() {
+        println!(
+            "\nfirst request at the gray server: {} ms after its start",
+            first.at_millis
+        );
+    }
     let unforeseeable = report.count_unforeseeable_losses(gray_starts);
     let lost = report.lost + report.wrong - unforeseeable;
+    print_losses(fleet, &report, &logs);
     let doubled = report.doubled.unwrap_or_default();
     let falsely_not_run = report.falsely_not_run.unwrap_or_default();
     println!(
