Reuse the parts that a daemon serves when it fetches a version

The parts of the stored version are kept, as they are served to others; a fetch now takes them from there when both versions have as many parts.

What is left is decoding all parts and building the index anew.

--- a/crates/cluster/src/spread/staging.rs
+++ b/crates/cluster/src/spread/staging.rs
@@ -43,22 +43,6 @@
     wanted: watch::Sender<u64>,
 }
 
-/// Contents of the parts that the stored routing has in common with a manifest.
-fn shared_contents(
-    snapshot: &snapshot::Snapshot,
-    manifest: &part::Manifest,
-) -> map::Map<part::Digest, Bytes> {
-    let Some(routing) = snapshot.routing() else {
-        return map::Map::default();
-    };
-    let parts = part::Parts::split_into(routing, manifest.parts.len());
-    let shared = manifest.parts.iter().filter_map(|digest| {
-        let content = parts.content(digest)?;
-        Some((*digest, content.clone()))
-    });
-    shared.collect()
-}
-
 impl State {
     /// Parts of the routing in `snapshot`, with its version.
     fn stored_parts(&mut self, snapshot: &snapshot::Snapshot) -> Option<(u64, Arc<part::Parts>)> {
@@ -69,6 +53,26 @@
         }
         self.stored.clone()
     }
+
+    /// Contents of the parts that the stored routing has in common with a manifest.
+    fn common_contents(
+        &mut self,
+        snapshot: &snapshot::Snapshot,
+        manifest: &part::Manifest,
+    ) -> map::Map<part::Digest, Bytes> {
+        let count = manifest.parts.len();
+        let stored = self.stored_parts(snapshot).map(|(_, parts)| parts);
+        let parts = match (stored, snapshot.routing()) {
+            (Some(stored), _) if stored.manifest().parts.len() == count => stored,
+            (_, Some(routing)) => Arc::new(part::Parts::split_into(routing, count)),
+            (_, None) => return map::Map::default(),
+        };
+        let common = manifest.parts.iter().filter_map(|digest| {
+            let content = parts.content(digest)?;
+            Some((*digest, content.clone()))
+        });
+        common.collect()
+    }
 }
 
 impl Staging {
@@ -114,8 +118,8 @@
         snapshot: &snapshot::Snapshot,
         manifest: configuration::Manifest,
     ) -> Vec<part::Digest> {
-        let mut contents = shared_contents(snapshot, &manifest.manifest);
         let mut state = lock(&self.state);
+        let mut contents = state.common_contents(snapshot, &manifest.manifest);
         for digest in &manifest.manifest.parts {
             if let Some(content) = state.contents.remove(digest) {
                 contents.insert(*digest, content);
