Run long-lived tasks again after a panic

Cause: a panic ended a spawned task silently. The process went on without it: without a watch of the store, a gossip receiver, the application of configurations, or the ticks of a sixteenth of its services.

Ruled out: ending the process, which cuts the requests in flight for a fault in one message.

Change: crates/task. Used for the long-lived tasks of cluster and daemon; a tick of the proxy that panics is contained.

Test that failed first: panics::the_store_is_watched_again_after_an_object_ that_makes_the_watch_panic (never stored, with the restart off). Not covered: tasks of the floors and of usage copies, the page listeners.

--- a/crates/cluster/src/engine.rs
+++ b/crates/cluster/src/engine.rs
@@ -9,6 +9,7 @@
 use monsooncart_policy::rollout::pacer;
 use monsooncart_types::{instance, time};
 use monsooncart_wire::{hello, update};
+use tokio::net::TcpListener;
 use tokio::sync::{Notify, Semaphore, watch};
 use tokio_util::sync::{CancellationToken, DropGuard};
 use tokio_util::task::TaskTracker;
@@ -39,6 +40,22 @@
     u64::try_from(millis).unwrap_or(u64::MAX)
 }
 
+/// Starts the long-lived tasks of the peer listener and of membership.
+fn start_tasks(shared: &Arc<shared::Shared>, tcp: Arc<TcpListener>) {
+    let state = shared.clone();
+    let accept = move || listener::accept(state.clone(), tcp.clone());
+    shared.spawn_restarting("peer listener", accept);
+    let state = shared.clone();
+    shared.spawn_restarting("gossip receiver", move || gossip::receive(state.clone()));
+    let state = shared.clone();
+    shared.spawn_restarting("gossip timer", move || gossip::tick(state.clone()));
+    if let Some(list) = shared.vms.clone() {
+        let state = shared.clone();
+        let read = move || gossip::read_vms(state.clone(), list.clone());
+        shared.spawn_restarting("VM list reader", read);
+    }
+}
+
 impl Engine {
     pub(crate) async fn start(config: config::Config) -> Result<Self, config::Error> {
         let tls = config.keys.as_ref().map(tls::Tls::load).transpose()?;
@@ -114,12 +131,7 @@
         });
         shared.refresh_members();
         log::info!(vm:% = shared.local.vm, peers:% = address; "gossip: started");
-        shared.spawn(listener::accept(shared.clone(), tcp));
-        shared.spawn(gossip::receive(shared.clone()));
-        shared.spawn(gossip::tick(shared.clone()));
-        if let Some(list) = shared.vms.clone() {
-            shared.spawn(gossip::read_vms(shared.clone(), list));
-        }
+        start_tasks(&shared, Arc::new(tcp));
         spread::start(&shared);
         Ok(Self {
             shared,
--- a/crates/cluster/src/listener.rs
+++ b/crates/cluster/src/listener.rs
@@ -28,7 +28,7 @@
 const MAX_CALLS: usize = 256;
 
 /// Accepts connections until the engine stops.
-pub(crate) async fn accept(shared: Arc<shared::Shared>, listener: TcpListener) {
+pub(crate) async fn accept(shared: Arc<shared::Shared>, listener: Arc<TcpListener>) {
     let slots = Arc::new(Semaphore::new(MAX_CONNECTIONS));
     loop {
         let Ok(slot) = slots.clone().acquire_owned().await else {
--- a/crates/cluster/src/shared.rs
+++ b/crates/cluster/src/shared.rs
@@ -11,6 +11,7 @@
 use monsooncart_policy::rank;
 use monsooncart_policy::rollout::pacer;
 use monsooncart_store::{store, vms};
+use monsooncart_task as task;
 use monsooncart_types::{instance, map, time};
 use monsooncart_wire::{configuration, datagram, frame, sync, update};
 use tokio::net::UdpSocket;
@@ -134,6 +135,17 @@
         }
     }
 
+    /// Runs a long-lived task until the engine stops, and again if it panics.
+    pub(crate) fn spawn_restarting<F>(
+        &self,
+        name: &'static str,
+        start: impl FnMut() -> F + Send + 'static,
+    ) where
+        F: Future<Output = ()> + Send + 'static,
+    {
+        self.spawn(task::run_restarting(name, start));
+    }
+
     /// Runs a task until the engine stops.
     pub(crate) fn spawn(&self, task: impl Future<Output = ()> + Send + 'static) {
         let stop = self.stop.clone();
--- a/crates/cluster/src/spread.rs
+++ b/crates/cluster/src/spread.rs
@@ -22,12 +22,16 @@
 
 /// Starts the reconciliation task, the task that fetches the routing and, with a store, one watch per key prefix.
 pub(crate) fn start(shared: &Arc<shared::Shared>) {
-    shared.spawn(compare::run(shared.clone()));
-    shared.spawn(fetch::run(shared.clone()));
-    if let Some(store) = shared.store.clone() {
-        for prefix in shared.source.prefixes() {
-            let watch = watch::Watch::new(shared.clone(), store.clone(), prefix);
-            shared.spawn(watch.run());
-        }
+    let state = shared.clone();
+    shared.spawn_restarting("reconciliation", move || compare::run(state.clone()));
+    let state = shared.clone();
+    shared.spawn_restarting("routing fetch", move || fetch::run(state.clone()));
+    let Some(store) = &shared.store else {
+        return;
+    };
+    for &prefix in shared.source.prefixes() {
+        let (state, store) = (shared.clone(), store.clone());
+        let watch = move || watch::Watch::new(state.clone(), store.clone(), prefix).run();
+        shared.spawn_restarting("store watch", watch);
     }
 }
--- a/crates/cluster/tests/engine/main.rs
+++ b/crates/cluster/tests/engine/main.rs
@@ -8,6 +8,7 @@
 mod join;
 mod keys;
 mod lifecycle;
+mod panics;
 mod platform;
 mod regions;
 mod routing;
--- a/crates/daemon/src/engine.rs
+++ b/crates/daemon/src/engine.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use monsooncart_store::store;
+use monsooncart_task as task;
 use tokio::net::TcpListener;
 use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
@@ -142,19 +143,37 @@
     fn spawn_background_tasks(&self, store: Arc<dyn store::Store>) {
         let components = &self.shared.components;
         let core = &components.core;
-        self.spawn(updates::run(core.clone(), components.floors.clone()));
+        let (state, floors) = (core.clone(), components.floors.clone());
+        let apply = move || updates::run(state.clone(), floors.clone());
+        self.spawn_restarting("updates", apply);
+        let state = core.clone();
         if core.gateway_entries.is_some() {
-            self.spawn(gateway::evidence::send(core.clone()));
+            let send = move || gateway::evidence::send(state.clone());
+            self.spawn_restarting("evidence sender", send);
             return;
         }
-        self.spawn(components.claims.clone().expire());
-        self.spawn(change::complete_pending(core.clone(), store));
-        self.spawn(evidence::publish(core.clone()));
+        self.spawn_restarting("evidence publisher", move || {
+            evidence::publish(state.clone())
+        });
+        let claims = components.claims.clone();
+        self.spawn_restarting("claim expiry", move || claims.clone().expire());
+        let state = core.clone();
+        self.spawn_restarting("change completion", move || {
+            change::complete_pending(state.clone(), store.clone())
+        });
         if let Some(accounts) = components.accounts.clone() {
-            self.spawn(accounts.run());
+            self.spawn_restarting("usage accounts", move || accounts.clone().run());
         }
     }
 
+    /// Runs a long-lived task until the daemon stops, and again if it panics.
+    fn spawn_restarting<F>(&self, name: &'static str, start: impl FnMut() -> F + Send + 'static)
+    where
+        F: Future<Output = ()> + Send + 'static,
+    {
+        self.spawn(task::run_restarting(name, start));
+    }
+
     fn spawn(&self, task: impl Future<Output = ()> + Send + 'static) {
         let shutdown = self.shared.shutdown.clone();
         self.shared.background_tasks.spawn(async move {
--- a/crates/proxy/src/engine.rs
+++ b/crates/proxy/src/engine.rs
@@ -8,6 +8,7 @@
 use monsooncart_config::snapshot;
 use monsooncart_policy::service::View;
 use monsooncart_policy::{event, handle};
+use monsooncart_task as task;
 use monsooncart_types::{id, instance, map};
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
@@ -348,6 +349,8 @@
         while let Ok(service) = activation_receiver.try_recv() {
             active.push(service);
         }
-        active.retain(|service| service.tick(count.is_multiple_of(REAP_INTERVAL_TICKS)));
+        let reap = count.is_multiple_of(REAP_INTERVAL_TICKS);
+        // A service whose tick panicked is ticked again.
+        active.retain(|service| task::catch("tick", || service.tick(reap)).unwrap_or(true));
     }
 }
