Store a fetched routing before its parts; names and wrapping after a reading

The parts of a fetched version were kept before the version was stored, so that a request in between split the old routing again. The variable for a server that is gone from the configuration no longer reads like the service's own flag.

--- a/crates/cluster/src/spread/fetch.rs
+++ b/crates/cluster/src/spread/fetch.rs
@@ -165,12 +165,12 @@
         Ok(routing) => {
             let elapsed_millis = started_at.elapsed().as_millis();
             log::info!(version, parts = parts.manifest().parts.len(), routes = routing.routes.len(), elapsed_millis; "config: fetched routing from peers");
-            staging.finish(version, parts);
             shared.replica.merge(vec![held::Object {
                 key: object::Key::Routing,
                 version,
                 value: object::Value::Routing(Box::new(routing)),
             }]);
+            staging.finish(version, parts);
         }
         Err(error) => {
             log::error!(version, error:%; "config: fetched routing could not be assembled; keeping the current version");
--- a/crates/proxy/src/service.rs
+++ b/crates/proxy/src/service.rs
@@ -308,7 +308,7 @@
             } => {
                 let target = self.active_config.load().servers.get(&server).cloned();
                 let pending = state.pending.get(&request);
-                let removed = pending.is_some() && target.is_none();
+                let is_removed = pending.is_some() && target.is_none();
                 let sent = pending.zip(target).is_some_and(|(pending, server)| {
                     let command = Command::Send {
                         attempt,
@@ -322,12 +322,12 @@
                     state.attempts.insert(attempt, request);
                     return;
                 }
-                if removed {
+                if is_removed {
                     log::info!(service:% = self.name, request = request.0, server = server.0; "proxy: chosen server was removed before the send");
                 }
                 events.push_back(event::Event::Finish {
                     attempt,
-                    outcome: match removed {
+                    outcome: match is_removed {
                         true => outcome::Outcome::Removed,
                         false => outcome::Outcome::Cancelled,
                     },
--- a/crates/proxy/tests/all/fixture.rs
+++ b/crates/proxy/tests/all/fixture.rs
@@ -209,8 +209,8 @@
     }
 }
 
-/// Starts an engine with host routing, whose routes `/items/` and `/orders/` of `wires.example`,
-/// which is unrepeatable, have the timeout `timeout`.
+/// Starts an engine with host routing. `wires.example` has the repeatable route `/items/` and the
+/// unrepeatable route `/orders/`, both with this timeout.
 pub async fn start_host_proxy(addresses: &[net::SocketAddr], timeout: Duration) -> Proxy {
     let config = config::Config::new("entry-1".parse().unwrap(), "attica-a".parse().unwrap());
     let config = config.host_routing(Some(header_names()));
