--- a/crates/policy/tests/selector/main.rs
+++ b/crates/policy/tests/selector/main.rs
@@ -6,3 +6,4 @@
 mod fixture;
 mod invariants;
 mod outcomes;
+mod overload;
