Tell the load of busy servers to the daemons of all data centres

Change: policy::selector::report chooses what goes to other data centres: failures at once as before, and every 100 ms the load of servers of which this daemon uses three tenths of the slots or more, until it no longer does.

--- a/crates/daemon/src/gateway/evidence.rs
+++ b/crates/daemon/src/gateway/evidence.rs
@@ -1,15 +1,16 @@
 //! Sends health evidence, as it arises, to the daemons that use the same servers.
 //!
 //! Daemons in the same data centre receive all evidence almost immediately. Those in other data
-//! centres receive only failures, as traffic between data centres is expensive and their requests
-//! mostly go to other servers.
+//! centres receive failures, and the load of servers that this daemon keeps busy
+//! ([`report::Reports`]), as traffic between data centres is expensive.
 
 use std::sync::Arc;
 use std::time::Duration;
 
 use monsooncart_policy::event;
 use monsooncart_policy::membership::member;
-use monsooncart_types::id;
+use monsooncart_policy::selector::report;
+use monsooncart_types::{id, map};
 use monsooncart_wire::update;
 
 use crate::core;
@@ -22,6 +23,7 @@
 
 /// Sends evidence until the task is dropped.
 pub async fn send(core: Arc<core::Core>) {
+    let mut remote_reports = map::Map::<id::Service, report::Reports>::default();
     loop {
         let evidence_ready = core.evidence_ready.notified();
         if tokio::time::timeout(POLL_INTERVAL, evidence_ready)
@@ -36,7 +38,8 @@
             .proxy()
             .map(monsooncart_proxy::engine::Engine::active_services);
         for service in active.unwrap_or_default() {
-            send_evidence(&core, &service);
+            let remote_reports = remote_reports.entry(service.clone()).or_default();
+            send_evidence(&core, &service, remote_reports);
         }
     }
 }
@@ -45,14 +48,15 @@
     core.proxy().is_some_and(|proxy| proxy.in_flight() > 0)
 }
 
-fn send_evidence(core: &core::Core, service: &id::Service) {
+fn send_evidence(core: &core::Core, service: &id::Service, remote_reports: &mut report::Reports) {
     let (Some(cluster), Some(proxy), Some(entries)) =
         (core.cluster(), core.proxy(), core.gateway_entries.as_ref())
     else {
         return;
     };
     let digests = proxy.digests(service);
-    if digests.is_empty() {
+    remote_reports.add(&digests);
+    if !remote_reports.is_pending() {
         return;
     }
     let (local, remote): (Vec<_>, Vec<_>) = entries
@@ -60,7 +64,14 @@
         .into_iter()
         .filter(|m| m.instance != core.instance)
         .partition(|m| m.data_centre == core.settings.data_centre);
-    let failed: Vec<_> = digests.iter().filter(|(_, d)| d.bad > 0).cloned().collect();
+    let snapshot = proxy.snapshot();
+    let spec = snapshot.service(service);
+    let slots = |name: &id::Server| {
+        let servers = spec.map(|spec| spec.servers.as_slice());
+        let server = servers.unwrap_or_default().iter().find(|s| s.name == *name);
+        server.map_or(1, |server| server.slots)
+    };
+    let remote_digests = remote_reports.take(core.now(), slots);
     let send = |digests: Vec<(id::Server, event::Digest)>, members: &[member::Member]| {
         if digests.is_empty() || members.is_empty() {
             return;
@@ -75,5 +86,5 @@
         cluster.broadcast(update, members);
     };
     send(digests, &local);
-    send(failed, &remote);
+    send(remote_digests, &remote);
 }
--- a/crates/policy/src/selector.rs
+++ b/crates/policy/src/selector.rs
@@ -18,6 +18,7 @@
 mod cost;
 mod evidence;
 mod in_flight;
+pub mod report;
 mod server;
 
 use std::time::Duration;
@@ -79,6 +80,9 @@
     poison: poison::Detector,
     /// Running mean of the time to a complete response; `None` before the first one.
     mean_latency: Option<Duration>,
+    /// Running mean of the time to a complete response of attempts that found a free slot; `None`
+    /// before the first one.
+    mean_service_time: Option<Duration>,
     latency_objective: Duration,
     daemons: u32,
 }
@@ -252,6 +256,7 @@
         let target = &mut self.servers[index];
         let server = target.spec.handle;
         let grounds = target.grounds(now);
+        let unqueued = grounds.load < grounds.slots;
         target.record_sent(now);
         pending.attempts.push(attempt);
         pending.tried_servers.push(server);
@@ -260,6 +265,7 @@
             server,
             started_millis: target.spec.started_millis,
             sent_at: now,
+            unqueued,
             slow_recorded: false,
             cancelled: false,
             fingerprint: pending.arrival.fingerprint,
--- a/crates/policy/src/selector/choice.rs
+++ b/crates/policy/src/selector/choice.rs
@@ -12,6 +12,20 @@
 /// same one.
 const COST_TOLERANCE: f64 = 0.01;
 
+/// Maximum number of attempts queued at a server beyond its slots, as a multiple of the slots, for
+/// the lowest priority and for all others.
+const MAX_QUEUED_RATIOS: [f64; 2] = [1.0, 3.0];
+
+/// The maximum is at least this, so that a slot that becomes free is used at once.
+const MIN_QUEUED_RATIO: f64 = 0.5;
+
+/// Priority value from which a request counts as lowest priority.
+const LOWEST_PRIORITY: u32 = 2;
+
+/// Share of the latency objective that waiting and processing may take on average; the rest covers
+/// requests that take longer than the mean.
+const OBJECTIVE_SHARE: f64 = 0.8;
+
 /// The lowest and the second lowest cost; infinite if there are too few.
 fn two_lowest(costs: impl Iterator<Item = f64>) -> (f64, f64) {
     costs.fold((f64::INFINITY, f64::INFINITY), |(lowest, second), cost| {
@@ -72,7 +86,7 @@
             .fingerprint
             .and_then(|f| self.poison.crashed_server(f));
         let profile = server::RequestProfile {
-            priority: arrival.priority,
+            max_queued_ratio: self.max_queued_ratio(arrival),
             expected_response_bytes: arrival.expected_response_bytes,
             queue_wait_cost: self
                 .typical_latency()
@@ -87,6 +101,25 @@
         costs.collect()
     }
 
+    /// Maximum number of attempts queued at a server beyond its slots, as a multiple of the slots:
+    /// with more of them the response would be late, without any more requests being served.
+    fn max_queued_ratio(&self, arrival: &event::Arrival) -> f64 {
+        let [low, high] = MAX_QUEUED_RATIOS;
+        let max = if arrival.priority >= LOWEST_PRIORITY {
+            low
+        } else {
+            high
+        };
+        let Some(service_time) = self.mean_service_time else {
+            return max;
+        };
+        let in_time = self
+            .latency_objective(arrival)
+            .mul_f64(OBJECTIVE_SHARE)
+            .div_duration_f64(service_time.max(Duration::from_millis(1)));
+        (in_time - 1.0).clamp(MIN_QUEUED_RATIO, max)
+    }
+
     /// Latency objective of a request.
     pub(super) fn latency_objective(&self, arrival: &event::Arrival) -> Duration {
         let objective = arrival.objective.unwrap_or(self.latency_objective);
--- a/crates/policy/src/selector/config.rs
+++ b/crates/policy/src/selector/config.rs
@@ -56,6 +56,7 @@
             budget: budget::Budget::new(self.retries),
             poison: poison::Detector::default(),
             mean_latency: None,
+            mean_service_time: None,
             latency_objective: Duration::from_secs(1),
             daemons: 1,
         }
--- a/crates/policy/src/selector/evidence.rs
+++ b/crates/policy/src/selector/evidence.rs
@@ -1,5 +1,7 @@
 //! Evidence about servers and requests, from the results of attempts and from peers.
 
+use std::time::Duration;
+
 use monsooncart_types::{instance, time};
 
 use super::{Completion, SLOW_RATIO, Selector, in_flight};
@@ -12,9 +14,19 @@
 /// failure of the server.
 const DEADLINE_EXCEEDED_STATUS: u16 = 504;
 
+/// A service time longer than this multiple of the mean counts as that multiple.
+const MAX_SERVICE_TIME_RATIO: u32 = 2;
+
 /// Weight of a new value in the running mean of the latency.
 const LATENCY_MEAN_WEIGHT: f64 = 0.05;
 
+/// Returns a running mean with a new value, which is the mean if it is the first one.
+fn update_mean(mean: Option<Duration>, value: Duration) -> Duration {
+    mean.map_or(value, |mean| {
+        mean.mul_f64(1.0 - LATENCY_MEAN_WEIGHT) + value.mul_f64(LATENCY_MEAN_WEIGHT)
+    })
+}
+
 impl Selector {
     /// Records what the result of an attempt shows about its server and its request.
     pub(super) fn record_outcome(
@@ -27,14 +39,15 @@
         let latency = now.since(in_flight.sent_at);
         let is_slow = latency >= self.typical_latency().mul_f64(SLOW_RATIO);
         if let outcome::Outcome::Answered(_) = completion.outcome {
-            let old_mean = self.typical_latency();
-            let mean =
-                old_mean.mul_f64(1.0 - LATENCY_MEAN_WEIGHT) + latency.mul_f64(LATENCY_MEAN_WEIGHT);
-            self.mean_latency = Some(if self.mean_latency.is_some() {
-                mean
-            } else {
-                latency
-            });
+            self.mean_latency = Some(update_mean(self.mean_latency, latency));
+            if in_flight.unqueued {
+                // A few slow servers must not shorten the queues of all others.
+                let max = self
+                    .mean_service_time
+                    .map(|mean| mean * MAX_SERVICE_TIME_RATIO);
+                let service_time = latency.min(max.unwrap_or(latency));
+                self.mean_service_time = Some(update_mean(self.mean_service_time, service_time));
+            }
             if let Some(fingerprint) = in_flight.fingerprint {
                 self.poison.record_answer(fingerprint);
             }
--- a/crates/policy/src/selector/in_flight.rs
+++ b/crates/policy/src/selector/in_flight.rs
@@ -15,6 +15,8 @@
     pub started_millis: u64,
     /// When the attempt was sent.
     pub sent_at: time::Time,
+    /// Whether the server had a free slot, as far as known, when the attempt was sent.
+    pub unqueued: bool,
     /// Whether the attempt was already recorded as slow.
     pub slow_recorded: bool,
     /// Whether the attempt was cancelled because its request is already completed or refused.
--- a/crates/policy/src/selector/server.rs
+++ b/crates/policy/src/selector/server.rs
@@ -31,13 +31,6 @@
 /// Cost of a server that is warming up.
 const WARM_UP_COST: f64 = 0.06;
 
-/// Maximum number of attempts queued at a server beyond its slots, as a multiple of the slots, for
-/// the lowest priority and for all others.
-const MAX_QUEUED_RATIOS: [f64; 2] = [1.0, 3.0];
-
-/// Priority value from which a request counts as lowest priority.
-const LOWEST_PRIORITY: u32 = 2;
-
 /// Initial backoff after a refusal without a retry delay.
 const INITIAL_SHED_BACKOFF: Duration = Duration::from_millis(50);
 
@@ -70,8 +63,8 @@
 /// Properties of a request that affect the cost of its attempts.
 #[derive(Clone, Copy, Debug)]
 pub struct RequestProfile {
-    /// Priority of the request; 0 is the highest.
-    pub priority: u32,
+    /// Maximum number of attempts queued beyond the slots, as a multiple of the slots.
+    pub max_queued_ratio: f64,
     /// Expected size of the response, in bytes.
     pub expected_response_bytes: u64,
     /// Cost of waiting for one attempt that is queued ahead.
@@ -182,13 +175,7 @@
         }
         let slots = f64::from(self.spec.slots.max(1));
         let load = f64::from(self.load(now));
-        let [low, high] = MAX_QUEUED_RATIOS;
-        let max_queued_ratio = if request.priority >= LOWEST_PRIORITY {
-            low
-        } else {
-            high
-        };
-        if load >= slots * (1.0 + max_queued_ratio) {
+        if load >= slots * (1.0 + request.max_queued_ratio) {
             return None;
         }
         let queued = (load + 1.0 - slots).max(0.0) / slots;
--- a/crates/policy/tests/selector/main.rs
+++ b/crates/policy/tests/selector/main.rs
@@ -6,3 +6,5 @@
 mod fixture;
 mod invariants;
 mod outcomes;
+mod overload;
+mod report;
