--- a/crates/cluster/src/dissemination.rs
+++ b/crates/cluster/src/dissemination.rs
@@ -182,6 +182,30 @@
     }
 }
 
+/// Packs items into batches that each fit a datagram; the items in `large` are left out.
+pub(crate) fn pack_batches(
+    items: Vec<update::Item>,
+    large: &[update::Item],
+) -> Vec<Vec<update::Item>> {
+    let mut batches: Vec<Vec<update::Item>> = Vec::new();
+    let mut remaining_bytes = 0;
+    for item in items {
+        if large.iter().any(|l| l.id == item.id) {
+            continue;
+        }
+        let size_bytes = frame::encode(&item).map_or(datagram::MAX_BODY_BYTES, |bytes| bytes.len());
+        match batches.last_mut() {
+            Some(batch) if size_bytes <= remaining_bytes => batch.push(item),
+            _ => {
+                remaining_bytes = datagram::MAX_BODY_BYTES - BATCH_HEADER_BYTES;
+                batches.push(vec![item]);
+            }
+        }
+        remaining_bytes = remaining_bytes.saturating_sub(size_bytes);
+    }
+    batches
+}
+
 /// Maximum growth of an item's encoded age while the item is queued.
 const MAX_AGE_GROWTH_BYTES: usize = 5;
 
--- a/crates/cluster/src/shared.rs
+++ b/crates/cluster/src/shared.rs
@@ -13,7 +13,7 @@
 use monsooncart_store::{store, vms};
 use monsooncart_task as task;
 use monsooncart_types::{instance, map, time};
-use monsooncart_wire::{configuration, datagram, frame, sync, update};
+use monsooncart_wire::{configuration, datagram, sync, update};
 use tokio::net::UdpSocket;
 use tokio::sync::{Notify, Semaphore, watch};
 use tokio_util::sync::CancellationToken;
@@ -99,30 +99,6 @@
     }
 }
 
-/// Packs items into batches that each fit a datagram; the items in `large` are left out.
-fn pack_batches(items: Vec<update::Item>, large: &[update::Item]) -> Vec<Vec<update::Item>> {
-    let mut batches: Vec<Vec<update::Item>> = Vec::new();
-    let mut remaining_bytes = 0;
-    for item in items {
-        if large.iter().any(|l| l.id == item.id) {
-            continue;
-        }
-        let size_bytes = frame::encode(&item).map_or(datagram::MAX_BODY_BYTES, |bytes| bytes.len());
-        match batches.last_mut() {
-            Some(batch) if size_bytes <= remaining_bytes => batch.push(item),
-            _ => {
-                remaining_bytes = datagram::MAX_BODY_BYTES - BATCH_HEADER_BYTES;
-                batches.push(vec![item]);
-            }
-        }
-        remaining_bytes = remaining_bytes.saturating_sub(size_bytes);
-    }
-    batches
-}
-
-/// Size of a datagram's body without its items.
-const BATCH_HEADER_BYTES: usize = 8;
-
 impl Shared {
     pub(crate) fn now(&self) -> time::Time {
         time::Time::ZERO + self.started_at.elapsed()
@@ -443,7 +419,7 @@
             dissemination.take_large()
         };
         let to: Vec<_> = region_peers.into_iter().chain(remote_delegates).collect();
-        for items in pack_batches(items, &large) {
+        for items in dissemination::pack_batches(items, &large) {
             // Gossip reaches the daemons that miss the datagram.
             self.broadcast(&items, &to);
         }
