Test that fails: a server's announced rate limit is exceeded

The stand-in of a server learns to announce a rate limit (Server-Limit) and records when requests arrive.

--- a/crates/testbed/src/worker.rs
+++ b/crates/testbed/src/worker.rs
@@ -53,6 +53,10 @@
     heads: Vec<String>,
     /// When the last execution of a request started.
     last_execution_started_at: Option<Instant>,
+    /// Requests per second that its responses announce as the maximum for all daemons together.
+    rate_limit: Option<f64>,
+    /// When each request arrived.
+    arrivals: Vec<Instant>,
     /// Id of the server that replaced it at its address.
     successor: Option<String>,
 }
@@ -100,6 +104,17 @@
         self.state().delay = delay;
     }
 
+    /// Sets the rate limit, in requests per second, that its responses announce.
+    pub fn set_rate_limit(&self, requests_per_second: Option<f64>) {
+        self.state().rate_limit = requests_per_second;
+    }
+
+    /// Returns when each request arrived.
+    #[must_use]
+    pub fn arrivals(&self) -> Vec<Instant> {
+        self.state().arrivals.clone()
+    }
+
     /// Returns the number of executions of each request by its id.
     #[must_use]
     pub fn executions(&self) -> BTreeMap<String, u32> {
@@ -164,14 +179,17 @@
         // Id of the request whose response is repeated.
         let mut extra_id: Option<String> = None;
         while let Some(request) = read_request(&mut stream).await? {
-            let (mode, delay) = {
+            let (mode, delay, rate_limit) = {
                 let mut state = self.state();
                 state.heads.push(request.head.clone());
+                state.arrivals.push(Instant::now());
                 match state.successor {
-                    Some(_) => (Mode::Misdirected, Duration::ZERO),
-                    None => (state.mode, state.delay),
+                    Some(_) => (Mode::Misdirected, Duration::ZERO, None),
+                    None => (state.mode, state.delay, state.rate_limit),
                 }
             };
+            let limit_line =
+                rate_limit.map_or_else(String::new, |limit| format!("server-limit: {limit}\r\n"));
             if let Some(id) = extra_id.take() {
                 stream
                     .write_all(format_response("200 OK", &id, BODY).as_bytes())
@@ -185,7 +203,7 @@
             if let Some((status, header_line)) = rejection {
                 let id = &request.id;
                 let text = format!(
-                    "HTTP/1.1 {status}\r\nx-attempt-id: {id}\r\n{header_line}content-length: 0\r\n\r\n"
+                    "HTTP/1.1 {status}\r\nx-attempt-id: {id}\r\n{limit_line}{header_line}content-length: 0\r\n\r\n"
                 );
                 stream.write_all(text.as_bytes()).await?;
                 continue;
@@ -222,6 +240,7 @@
                 }
                 _ => format_response("200 OK", &request.id, BODY),
             };
+            let text = text.replacen("\r\n", &format!("\r\n{limit_line}"), 1);
             stream.write_all(text.as_bytes()).await?;
             match mode {
                 Mode::Cut | Mode::Unframed => return stream.shutdown().await,
--- a/tests/all/gateway.rs
+++ b/tests/all/gateway.rs
@@ -401,3 +401,39 @@
         assert!(status >= 500, "{status}");
     }
 }
+
+/// Guards against servers that announce a rate limit and receive more requests than that.
+#[tokio::test(flavor = "multi_thread")]
+async fn server_that_announces_a_rate_limit_receives_no_more_from_all_daemons_together() {
+    const LIMIT: f64 = 1.0;
+    /// Time after which the limit holds.
+    const STABILITY_WINDOW: Duration = Duration::from_secs(3);
+    const COUNTED_WINDOW: Duration = Duration::from_secs(4);
+    /// Requests in a counted window beyond one and a half times the limit.
+    const SLACK: f64 = 5.0;
+    let gateway = Gateway::start(3, 3).await;
+    gateway.servers[0].set_rate_limit(Some(LIMIT));
+    let announced_at = Instant::now();
+
+    let mut number = 0;
+    while announced_at.elapsed() < STABILITY_WINDOW + 2 * COUNTED_WINDOW {
+        for daemon in &gateway.daemons {
+            number += 1;
+            let method_and_path = [("GET", "/read/x"), ("POST", "/buy/x")][number % 2];
+            let id = format!("limit-{number}");
+            let reply = daemon.send(method_and_path.0, method_and_path.1, &id).await;
+            assert_eq!(reply.expect("response").status, 200);
+        }
+        tokio::time::sleep(Duration::from_millis(30)).await;
+    }
+
+    let mut arrivals = gateway.servers[0].arrivals();
+    arrivals.retain(|at| *at >= announced_at + STABILITY_WINDOW);
+    let in_window_from = |start: &Instant| {
+        let in_window = |at: &&Instant| **at >= *start && **at - *start < COUNTED_WINDOW;
+        arrivals.iter().filter(in_window).count()
+    };
+    let most = arrivals.iter().map(in_window_from).max().unwrap_or(0);
+    let allowed = 1.5 * LIMIT * COUNTED_WINDOW.as_secs_f64() + SLACK;
+    assert!(most as f64 <= allowed, "{most} requests, {allowed} allowed");
+}
