Keep to the rate limit that a server announces, all daemons together

What was seen: servers in need named 1.2 and 1.8 requests a second and received 14 and 24 in 4 s, where 12 and 16 are allowed. No caller saw an error.

Cause: the daemons forwarded the header and acted on nothing in it.

Change: a response's limit goes to the policy and, when it is new, to all daemons. Each second has as many permits as the limit allows requests, and rendezvous hashing assigns each to one daemon of the entry sets, so that the daemons share the limit without messages (policy::selector::rate_limit, docs/design/rate-limits.md). The policies get the list of daemons in place of their number, and the Unix time of their clock's origin.

Why it works: a window of 4 s touches five seconds' permits at most, 5 x limit of the 6 x limit + 5 that the rule allows; unused permits expire.

--- a/benches/policy.rs
+++ b/benches/policy.rs
@@ -29,7 +29,8 @@
         servers: (0..servers).map(server).collect(),
         floor_slots: 0,
         sensitivity: health::Sensitivity::Balanced,
-        daemons: 36,
+        daemons: (0..36).map(monsooncart_types::instance::Instance).collect(),
+        unix_origin: Duration::ZERO,
         latency_objective: Duration::from_millis(200),
     }
 }
--- a/crates/daemon/src/fleet.rs
+++ b/crates/daemon/src/fleet.rs
@@ -8,7 +8,7 @@
 use monsooncart_policy::handle;
 use monsooncart_policy::membership::member;
 use monsooncart_proxy::interface;
-use monsooncart_types::id;
+use monsooncart_types::{id, instance, rate};
 use monsooncart_wire::update;
 
 use crate::{core, floors};
@@ -119,6 +119,24 @@
         self.send_to_floors(input);
     }
 
+    fn report_rate_limit(
+        &self,
+        service: &id::Service,
+        server: &id::Server,
+        started_millis: u64,
+        limit: Option<rate::Rate>,
+    ) {
+        self.publish_urgent(
+            service,
+            update::Update::RateLimit {
+                service: service.clone(),
+                server: server.clone(),
+                started_millis,
+                limit,
+            },
+        );
+    }
+
     fn entries(&self, service: &id::Service) -> Option<(Vec<interface::Entry>, Duration)> {
         if !self.is_configured(service) {
             return None;
@@ -143,11 +161,13 @@
         self.core.evidence_ready.notify_one();
     }
 
-    fn daemon_count(&self, service: &id::Service) -> u32 {
-        let count = match &self.core.gateway_entries {
-            Some(entries) => entries.daemon_count(),
-            None => self.core.entries.entry_set(service).len(),
-        };
-        u32::try_from(count).unwrap_or(u32::MAX).max(1)
+    fn daemons(&self, service: &id::Service) -> Vec<instance::Instance> {
+        if let Some(entries) = &self.core.gateway_entries {
+            return entries.instances();
+        }
+        let set = self.core.entries.entry_set(service);
+        let mut instances: Vec<_> = set.iter().map(|m| m.instance).collect();
+        instances.sort_unstable();
+        instances
     }
 }
--- a/crates/daemon/src/gateway/entries.rs
+++ b/crates/daemon/src/gateway/entries.rs
@@ -11,7 +11,7 @@
 use arc_swap::ArcSwap;
 use monsooncart_policy::membership::member;
 use monsooncart_policy::rank;
-use monsooncart_types::{id, map};
+use monsooncart_types::{id, instance, map};
 
 /// Share of the capacity of a data centre's daemons that its entry set must provide.
 const CAPACITY_SHARE: f64 = 0.4;
@@ -96,14 +96,12 @@
         self.sets.load().values().flatten().cloned().collect()
     }
 
-    /// Number of daemons in all sets; at least one.
+    /// Instances of the daemons of all sets, in ascending order.
     #[must_use]
-    pub fn daemon_count(&self) -> usize {
-        self.sets
-            .load()
-            .values()
-            .map(Vec::len)
-            .sum::<usize>()
-            .max(1)
+    pub fn instances(&self) -> Vec<instance::Instance> {
+        let sets = self.sets.load();
+        let mut instances: Vec<_> = sets.values().flatten().map(|m| m.instance).collect();
+        instances.sort_unstable();
+        instances
     }
 }
--- a/crates/daemon/src/rpc.rs
+++ b/crates/daemon/src/rpc.rs
@@ -174,6 +174,16 @@
                     proxy.quarantine(&service, fingerprint, span.min(MAX_QUARANTINE));
                 }
             }
+            update::Update::RateLimit {
+                service,
+                server,
+                started_millis,
+                limit,
+            } => {
+                if let Some(proxy) = self.core.proxy() {
+                    proxy.record_rate_limit(&service, &server, started_millis, limit);
+                }
+            }
             update::Update::Mark { service, mark } => {
                 let event = event::Event::Mark(mark);
                 self.send_to_floors(floors::Input::Event(service, event));
--- a/crates/daemon/src/updates.rs
+++ b/crates/daemon/src/updates.rs
@@ -39,7 +39,7 @@
             }
         }
         if !changed_sets.is_empty() {
-            proxy.refresh_daemon_counts();
+            proxy.refresh_daemons();
         }
         tokio::select! {
             changed = configurations.changed() => if changed.is_err() {
--- a/crates/policy/src/action.rs
+++ b/crates/policy/src/action.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use monsooncart_types::time;
+use monsooncart_types::{rate, time};
 
 use crate::{handle, outcome};
 
@@ -78,6 +78,15 @@
         /// The evidence, as text for operators.
         evidence: String,
     },
+    /// Reports to the fleet the rate limit that a server announces.
+    ReportRateLimit {
+        /// The server.
+        server: handle::Server,
+        /// Start time of the run that announced it, in milliseconds since 1970.
+        started_millis: u64,
+        /// The limit; `None` if the server no longer announces one.
+        limit: Option<rate::Rate>,
+    },
     /// Sends a health probe to a server.
     Probe(handle::Server),
     /// Closes the connections to a server that were opened before a given time.
--- a/crates/policy/src/balancer.rs
+++ b/crates/policy/src/balancer.rs
@@ -106,6 +106,8 @@
                 self.poison.quarantine(fingerprint, expires_at);
             }
             event::Event::Tick => self.tick(now, actions),
+            // The servers of this policy's deployments announce no rate limits.
+            event::Event::RateLimit { .. } | event::Event::PeerRateLimit { .. } => {}
         }
     }
 
@@ -137,7 +139,9 @@
     ) {
         self.limits = inventory.sensitivity.into();
         self.latency_objective = inventory.latency_objective;
-        self.daemons = inventory.daemons;
+        self.daemons = u32::try_from(inventory.daemons.len())
+            .unwrap_or(u32::MAX)
+            .max(1);
         let mut known: map::Map<_, _> = std::mem::take(&mut self.backends)
             .into_iter()
             .map(|b| (b.spec.handle, b))
--- a/crates/policy/src/event.rs
+++ b/crates/policy/src/event.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use monsooncart_types::time;
+use monsooncart_types::{rate, time};
 
 use crate::{handle, inventory, outcome};
 
@@ -88,6 +88,23 @@
         /// Retry delay that the server asked for.
         retry_after: Option<Duration>,
     },
+    /// A response was received, with the rate limit that its server announces for all daemons
+    /// together.
+    RateLimit {
+        /// The attempt.
+        attempt: handle::Attempt,
+        /// The limit; `None` if the server announces none.
+        limit: Option<rate::Rate>,
+    },
+    /// Another daemon reported the rate limit that a server announces.
+    PeerRateLimit {
+        /// The server.
+        server: handle::Server,
+        /// Start time of the run that announced it, in milliseconds since 1970.
+        started_millis: u64,
+        /// The limit; `None` if the server no longer announces one.
+        limit: Option<rate::Rate>,
+    },
     /// A health probe finished.
     Probe {
         /// The server.
--- a/crates/policy/src/inventory.rs
+++ b/crates/policy/src/inventory.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use monsooncart_types::id;
+use monsooncart_types::{id, instance};
 
 use crate::{handle, health};
 
@@ -34,8 +34,10 @@
     pub floor_slots: u64,
     /// Trade-off between detection time and false ejections.
     pub sensitivity: health::Sensitivity,
-    /// Number of daemons that share this service's traffic, including this one.
-    pub daemons: u32,
+    /// Daemons that share this service's traffic.
+    pub daemons: Vec<instance::Instance>,
+    /// Time from the Unix epoch to the origin of the policy's clock.
+    pub unix_origin: Duration,
     /// Objective of the service for the time to the response head.
     pub latency_objective: Duration,
 }
--- a/crates/policy/src/rank.rs
+++ b/crates/policy/src/rank.rs
@@ -14,7 +14,7 @@
 }
 
 /// Finalizer of the splitmix64 generator: every bit of `x` affects every bit of the result.
-const fn mix(mut x: u64) -> u64 {
+pub(crate) const fn mix(mut x: u64) -> u64 {
     x ^= x >> 30;
     x = x.wrapping_mul(0xbf58_476d_1ce4_e5b9);
     x ^= x >> 27;
--- a/crates/policy/src/selector.rs
+++ b/crates/policy/src/selector.rs
@@ -18,6 +18,7 @@
 mod cost;
 mod evidence;
 mod in_flight;
+pub mod rate_limit;
 pub mod report;
 mod server;
 
@@ -84,7 +85,7 @@
     /// before the first one.
     mean_service_time: Option<Duration>,
     latency_objective: Duration,
-    daemons: u32,
+    fleet: rate_limit::Fleet,
 }
 
 impl service::Policy for Selector {
@@ -111,6 +112,14 @@
                     server.announced_leaving = true;
                 }
             }
+            event::Event::RateLimit { attempt, limit } => {
+                self.record_rate_limit(now, attempt, limit, actions);
+            }
+            event::Event::PeerRateLimit {
+                server,
+                started_millis,
+                limit,
+            } => self.merge_rate_limit(now, server, started_millis, limit),
             event::Event::Evidence { from, digests } => {
                 if from != self.config.instance {
                     self.merge_evidence(now, from, &digests, actions);
@@ -156,7 +165,8 @@
     /// Applies a new configuration; evidence about a server is kept until the server restarts.
     fn apply_inventory(&mut self, now: time::Time, inventory: inventory::Inventory) {
         self.latency_objective = inventory.latency_objective;
-        self.daemons = inventory.daemons.max(1);
+        self.fleet.daemons = inventory.daemons;
+        self.fleet.unix_origin = inventory.unix_origin;
         let mut old: map::Map<_, _> = self
             .servers
             .drain(..)
@@ -173,6 +183,13 @@
         self.indices = servers.map(|(i, s)| (s.spec.handle, i)).collect();
     }
 
+    /// Number of daemons that share the traffic, including this one.
+    fn daemon_count(&self) -> u32 {
+        u32::try_from(self.fleet.daemons.len())
+            .unwrap_or(u32::MAX)
+            .max(1)
+    }
+
     fn admit(
         &mut self,
         now: time::Time,
@@ -366,11 +383,12 @@
             completion.outcome,
             outcome::Outcome::Unsent | outcome::Outcome::Removed
         );
-        let target = if may_retry && (is_unsent || self.budget.allows_retry(now, self.daemons)) {
-            self.select_server(now, &pending)
-        } else {
-            None
-        };
+        let target =
+            if may_retry && (is_unsent || self.budget.allows_retry(now, self.daemon_count())) {
+                self.select_server(now, &pending)
+            } else {
+                None
+            };
         if let Some(target) = target {
             if !is_unsent {
                 self.budget.record_retry(now);
@@ -435,7 +453,7 @@
             && age >= hedge_after
             && now < arrival.deadline
             && !arrival.fingerprint.is_some_and(suspected);
-        if !may_hedge || !self.budget.allows_retry(now, self.daemons) {
+        if !may_hedge || !self.budget.allows_retry(now, self.daemon_count()) {
             return;
         }
         let pending = pending.clone();
--- a/crates/policy/src/selector/choice.rs
+++ b/crates/policy/src/selector/choice.rs
@@ -50,9 +50,12 @@
         if attempts_left == 0 {
             return None;
         }
+        for server in &mut self.servers {
+            server.start_rate_limit_interval(now, &self.fleet);
+        }
         let costs = self.costs(now, pending);
         let retryable = arrival.repeatable && attempts_left > 1 && pending.tried_servers.is_empty();
-        let retryable = retryable && self.budget.allows_retry(now, self.daemons);
+        let retryable = retryable && self.budget.allows_retry(now, self.daemon_count());
         let (best, second) = two_lowest(costs.iter().map(|(_, cost)| cost.without_retry()));
         let total = |cost: &cost::Cost| {
             if !retryable {
--- a/crates/policy/src/selector/config.rs
+++ b/crates/policy/src/selector/config.rs
@@ -7,7 +7,7 @@
 use rand::rngs::SmallRng;
 
 use crate::poison;
-use crate::selector::{Selector, budget};
+use crate::selector::{Selector, budget, rate_limit};
 
 /// Builds a [`Selector`].
 #[derive(Clone, Copy, Debug)]
@@ -58,7 +58,11 @@
             mean_latency: None,
             mean_service_time: None,
             latency_objective: Duration::from_secs(1),
-            daemons: 1,
+            fleet: rate_limit::Fleet {
+                own: self.instance,
+                daemons: Vec::new(),
+                unix_origin: Duration::ZERO,
+            },
         }
     }
 }
--- a/crates/policy/src/selector/evidence.rs
+++ b/crates/policy/src/selector/evidence.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use monsooncart_types::{instance, time};
+use monsooncart_types::{instance, rate, time};
 
 use super::{Completion, SLOW_RATIO, Selector, in_flight};
 use crate::{action, event, handle, outcome, poison};
@@ -160,6 +160,53 @@
         }
     }
 
+    /// Records the rate limit in the response to an attempt.
+    pub(super) fn record_rate_limit(
+        &mut self,
+        now: time::Time,
+        attempt: handle::Attempt,
+        limit: Option<rate::Rate>,
+        actions: &mut Vec<action::Action>,
+    ) {
+        let Some(in_flight) = self.in_flight.get(&attempt) else {
+            return;
+        };
+        let (server, started_millis) = (in_flight.server, in_flight.started_millis);
+        let Some(known) = self.server_in_run(server, started_millis) else {
+            return;
+        };
+        if known.observe_rate_limit(now, limit) {
+            actions.push(action::Action::ReportRateLimit {
+                server,
+                started_millis,
+                limit,
+            });
+        }
+    }
+
+    /// Applies the rate limit that a peer reported.
+    pub(super) fn merge_rate_limit(
+        &mut self,
+        now: time::Time,
+        server: handle::Server,
+        started_millis: u64,
+        limit: Option<rate::Rate>,
+    ) {
+        if let Some(known) = self.server_in_run(server, started_millis) {
+            known.set_rate_limit(now, limit);
+        }
+    }
+
+    /// The server if the run that started at `started_millis` is its current one.
+    fn server_in_run(
+        &mut self,
+        server: handle::Server,
+        started_millis: u64,
+    ) -> Option<&mut super::server::Server> {
+        let known = self.server_mut(server)?;
+        (known.spec.started_millis == started_millis).then_some(known)
+    }
+
     /// Merges the evidence that a peer reported.
     pub(super) fn merge_evidence(
         &mut self,
--- a/crates/policy/src/selector/server.rs
+++ b/crates/policy/src/selector/server.rs
@@ -2,9 +2,9 @@
 
 use std::time::Duration;
 
-use monsooncart_types::{instance, map, time};
+use monsooncart_types::{instance, map, rate, time};
 
-use crate::selector::{belief, cost};
+use crate::selector::{belief, cost, rate_limit};
 use crate::{action, event, handle, inventory, service};
 
 /// Value of new evidence about a local server whose last evidence is [`STALE_EVIDENCE_AGE`] old or
@@ -89,6 +89,8 @@
     pub replaced: bool,
     /// Whether the configuration no longer has the server and the next inventory is outstanding.
     pub removed: bool,
+    /// Present while the server announces a rate limit.
+    limiter: Option<rate_limit::Limiter>,
     belief: belief::Belief,
     /// Time of the last evidence, or of the last attempt, which will yield evidence.
     last_evidence_at: time::Time,
@@ -123,6 +125,7 @@
             announced_leaving: false,
             replaced: false,
             removed: false,
+            limiter: None,
             belief: belief::Belief::new(now),
             last_evidence_at: time::Time::ZERO,
             in_flight: 0,
@@ -153,6 +156,10 @@
         }
         self.removed = false;
         self.spec = spec;
+        if let Some(limiter) = &mut self.limiter {
+            // The daemons that share the limit may have changed.
+            limiter.invalidate();
+        }
         self
     }
 
@@ -168,9 +175,45 @@
         self.in_flight + current.map(|load| load.in_flight).sum::<u32>()
     }
 
+    /// Records the rate limit that the server announced in a response to this daemon; returns whether
+    /// it is to be reported to the other daemons.
+    pub fn observe_rate_limit(&mut self, now: time::Time, limit: Option<rate::Rate>) -> bool {
+        match (&mut self.limiter, limit) {
+            (Some(limiter), Some(limit)) => limiter.observe(now, limit),
+            (known, limit) => {
+                let is_changed = known.is_some() || limit.is_some();
+                self.set_rate_limit(now, limit);
+                is_changed
+            }
+        }
+    }
+
+    /// Sets the rate limit that another daemon reported.
+    pub fn set_rate_limit(&mut self, now: time::Time, limit: Option<rate::Rate>) {
+        match (&mut self.limiter, limit) {
+            (Some(limiter), Some(limit)) => limiter.set_limit(now, limit),
+            (limiter, limit) => {
+                *limiter = limit.map(|limit| rate_limit::Limiter::new(now, &self.spec.name, limit));
+            }
+        }
+    }
+
+    /// Starts the interval of the rate limit, if there is one.
+    pub fn start_rate_limit_interval(&mut self, now: time::Time, fleet: &rate_limit::Fleet) {
+        if let Some(limiter) = &mut self.limiter {
+            limiter.advance(now, fleet);
+        }
+    }
+
+    /// Whether the rate limit allows no further request from this daemon at the moment.
+    fn is_rate_limited(&self) -> bool {
+        let limiter = self.limiter.as_ref();
+        limiter.is_some_and(|limiter| !limiter.allows_request())
+    }
+
     /// Cost of an attempt, or `None` if no attempt may be sent.
     pub fn cost(&self, now: time::Time, request: &RequestProfile) -> Option<cost::Cost> {
-        if self.is_unavailable() || now < self.backoff_ends_at {
+        if self.is_unavailable() || now < self.backoff_ends_at || self.is_rate_limited() {
             return None;
         }
         let slots = f64::from(self.spec.slots.max(1));
@@ -211,6 +254,9 @@
     /// Records that an attempt was sent.
     pub fn record_sent(&mut self, now: time::Time) {
         self.in_flight += 1;
+        if let Some(limiter) = &mut self.limiter {
+            limiter.record_sent();
+        }
         self.last_evidence_at = now;
         self.digest_changed = true;
     }
@@ -337,8 +383,11 @@
 
     /// The evidence, as text for operators.
     pub fn evidence(&self, now: time::Time) -> String {
+        let limit = self.limiter.as_ref().map_or_else(String::new, |limiter| {
+            format!(", limited to {}", limiter.limit())
+        });
         format!(
-            "gray with a chance of {:.3}, last evidence {} ms ago, load {} of {} slots",
+            "gray with a chance of {:.3}, last evidence {} ms ago, load {} of {} slots{limit}",
             self.belief.gray_probability(now),
             now.since(self.last_evidence_at).as_millis(),
             self.load(now),
--- a/crates/policy/tests/balancer/fixture.rs
+++ b/crates/policy/tests/balancer/fixture.rs
@@ -44,7 +44,8 @@
         servers: (0..servers).map(|s| server(s, slots)).collect(),
         floor_slots: 0,
         sensitivity: health::Sensitivity::Balanced,
-        daemons: 1,
+        daemons: vec![instance::Instance(1)],
+        unix_origin: Duration::ZERO,
         latency_objective: Duration::from_millis(200),
     }
 }
--- a/crates/policy/tests/balancer/invariants.rs
+++ b/crates/policy/tests/balancer/invariants.rs
@@ -10,7 +10,7 @@
 use monsooncart_policy::balancer::Config;
 use monsooncart_policy::slots::Strategy;
 use monsooncart_policy::{action, event, handle, outcome};
-use monsooncart_types::{map, time};
+use monsooncart_types::{instance, map, time};
 
 use crate::fixture::{self, Harness};
 
@@ -48,7 +48,7 @@
 impl Model {
     fn new(seed: u64, strategy: Strategy) -> Self {
         let mut inventory = fixture::inventory(SERVERS, SLOTS);
-        inventory.daemons = 2;
+        inventory.daemons = [1, 2].map(instance::Instance).to_vec();
         Self {
             harness: fixture::harness_with(Config::new(seed).strategy(strategy), inventory),
             requests: BTreeMap::new(),
--- a/crates/policy/tests/balancer/simulation.rs
+++ b/crates/policy/tests/balancer/simulation.rs
@@ -11,7 +11,7 @@
 
 use monsooncart_policy::service::Policy;
 use monsooncart_policy::{action, event, handle, health, inventory, outcome};
-use monsooncart_types::time;
+use monsooncart_types::{instance, time};
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 
@@ -257,7 +257,8 @@
                 .collect(),
             floor_slots: 0,
             sensitivity: self.plan.sensitivity,
-            daemons: 1,
+            daemons: vec![instance::Instance(1)],
+            unix_origin: Duration::ZERO,
             latency_objective: Duration::from_millis(200),
         };
         self.deliver(event::Event::Inventory(inventory));
@@ -393,7 +394,8 @@
             }
             action::Action::ReportCrash { .. }
             | action::Action::Quarantine { .. }
-            | action::Action::ReportState { .. } => {}
+            | action::Action::ReportState { .. }
+            | action::Action::ReportRateLimit { .. } => {}
         }
     }
 
--- a/crates/policy/tests/balancer/slots.rs
+++ b/crates/policy/tests/balancer/slots.rs
@@ -76,7 +76,7 @@
         .strategy(Strategy::DividedSlots)
         .instance(instance::Instance(1));
     let mut inventory = fixture::inventory(4, 6);
-    inventory.daemons = 2;
+    inventory.daemons = [1, 2].map(instance::Instance).to_vec();
     let mut harness = fixture::harness_with(config, inventory);
     let full = (0..4).map(|s| (handle::Server(s), digest(6))).collect();
     harness.deliver_evidence(2, full);
--- a/crates/policy/tests/selector/fixture.rs
+++ b/crates/policy/tests/selector/fixture.rs
@@ -5,7 +5,10 @@
 use monsooncart_policy::selector::{Config, Selector, budget};
 use monsooncart_policy::service::Policy as _;
 use monsooncart_policy::{action, event, handle, health, inventory, outcome};
-use monsooncart_types::time;
+use monsooncart_types::{instance, time};
+
+/// The only daemon.
+const INSTANCE: instance::Instance = instance::Instance(1);
 
 pub const MS: Duration = Duration::from_millis(1);
 
@@ -41,7 +44,8 @@
         servers,
         floor_slots: 0,
         sensitivity: health::Sensitivity::Fast,
-        daemons: 1,
+        daemons: vec![INSTANCE],
+        unix_origin: Duration::ZERO,
         latency_objective: 1000 * MS,
     })
 }
@@ -57,7 +61,7 @@
         window: Duration::from_secs(10),
     };
     let mut harness = Harness {
-        policy: Config::new(seed).retries(limits).build(),
+        policy: Config::new(seed).instance(INSTANCE).retries(limits).build(),
         now: time::Time::from_millis(60_000),
         requests: 0,
     };
@@ -135,7 +139,7 @@
             suspicion: 0,
         };
         self.handle(event::Event::Evidence {
-            from: monsooncart_types::instance::Instance(99),
+            from: instance::Instance(99),
             digests: vec![(handle::Server(server), digest)],
         });
     }
--- a/crates/policy/tests/selector/main.rs
+++ b/crates/policy/tests/selector/main.rs
@@ -7,4 +7,5 @@
 mod invariants;
 mod outcomes;
 mod overload;
+mod rate_limit;
 mod report;
--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use monsooncart_policy::{event, handle, outcome};
+use monsooncart_types::rate;
 
 use crate::service;
 
@@ -31,6 +32,13 @@
             .handle_event(event::Event::ResponseHead { attempt, status });
     }
 
+    /// Reports the rate limit that the server announces in its response; `None` if it announces none.
+    pub fn report_rate_limit(&self, limit: Option<rate::Rate>) {
+        let attempt = self.attempt;
+        self.service
+            .handle_event(event::Event::RateLimit { attempt, limit });
+    }
+
     /// Reports the result.
     pub fn finish(
         mut self,
--- a/crates/proxy/src/engine.rs
+++ b/crates/proxy/src/engine.rs
@@ -9,7 +9,7 @@
 use monsooncart_policy::service::View;
 use monsooncart_policy::{event, handle};
 use monsooncart_task as task;
-use monsooncart_types::{id, instance, map};
+use monsooncart_types::{id, instance, map, rate};
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
 use tokio::time::{MissedTickBehavior, interval};
@@ -235,6 +235,28 @@
         }
     }
 
+    /// Records the rate limit of a server that another daemon reported.
+    pub fn record_rate_limit(
+        &self,
+        service: &id::Service,
+        server: &id::Server,
+        started_millis: u64,
+        limit: Option<rate::Rate>,
+    ) {
+        let Some(known) = self.shared.service(service) else {
+            return;
+        };
+        // Without local traffic there is no request that the limit could affect.
+        let handle = known.server_handle(server).filter(|_| known.is_active());
+        if let Some(server) = handle {
+            known.handle_event(event::Event::PeerRateLimit {
+                server,
+                started_millis,
+                limit,
+            });
+        }
+    }
+
     /// Refuses a request for the given duration from now.
     pub fn quarantine(
         &self,
@@ -286,11 +308,11 @@
         self.shared.common.traces.get(request)
     }
 
-    /// Updates the policies of services for which the number of serving daemons changed.
-    pub fn refresh_daemon_counts(&self) {
+    /// Updates the policies of services whose serving daemons changed.
+    pub fn refresh_daemons(&self) {
         for shard in 0..SHARDS {
             for service in self.shared.services(shard) {
-                service.refresh_daemon_count();
+                service.refresh_daemons();
             }
         }
     }
--- a/crates/proxy/src/exchange.rs
+++ b/crates/proxy/src/exchange.rs
@@ -14,6 +14,7 @@
 use hyper::body::Incoming;
 use hyper::client::conn::TrySendError;
 use monsooncart_policy::outcome;
+use monsooncart_types::rate;
 use tokio::time::{Instant, timeout_at};
 
 use crate::{attempt, common, gate, header, host_routing, link, payload, server};
@@ -150,7 +151,11 @@
     if !matches_attempt(common, &head, &call.correlation_id) {
         return Err(outcome::Outcome::Garbled.into());
     }
-    if let Some(failure) = parse_refusal(common, &head) {
+    let refusal = parse_refusal(common, &head);
+    if refusal.is_none_or(|failure| failure.outcome != outcome::Outcome::Misdirected) {
+        report_rate_limit(common, call, attempt, &head);
+    }
+    if let Some(failure) = refusal {
         tracker.refused = true;
         // A server that refuses work is loaded; reuse its connection if the exchange is complete.
         if call.request_body.is_complete() && rest.is_end_stream() && !closes_connection(&head) {
@@ -354,6 +359,39 @@
     head.status.as_u16() >= 200 && has_required_echo && echoes.all(|echo| echo == correlation_id)
 }
 
+/// Reports the rate limit that the server announces. A malformed one is ignored, so that the limit
+/// that is known remains in force.
+fn report_rate_limit(
+    common: &common::Common,
+    call: &Call,
+    attempt: &attempt::Attempt,
+    head: &http::response::Parts,
+) {
+    let Some(host_headers) = &common.host_headers else {
+        return;
+    };
+    let name = &host_headers.rate_limit;
+    let Some(value) = head.headers.get(name) else {
+        attempt.report_rate_limit(None);
+        return;
+    };
+    match parse_rate(value) {
+        Some(limit) => attempt.report_rate_limit(Some(limit)),
+        None if common.log_limiter.admits(std::time::Instant::now()) => {
+            let server = &call.server.spec.name;
+            log::warn!(server:%, header:% = name, value:?; "health: ignoring the rate limit of a server; expected a decimal number of requests per second");
+        }
+        None => {}
+    }
+}
+
+/// Parses a decimal number of requests per second.
+fn parse_rate(value: &HeaderValue) -> Option<rate::Rate> {
+    let requests_per_second: f64 = value.to_str().ok()?.trim().parse().ok()?;
+    let is_valid = requests_per_second.is_finite() && requests_per_second >= 0.0;
+    is_valid.then_some(rate::Rate(requests_per_second))
+}
+
 /// Interprets a response as a refusal, if it is one.
 fn parse_refusal(common: &common::Common, head: &http::response::Parts) -> Option<Failure> {
     let Some(host_headers) = &common.host_headers else {
--- a/crates/proxy/src/host_routing.rs
+++ b/crates/proxy/src/host_routing.rs
@@ -16,4 +16,7 @@
     pub server: HeaderName,
     /// Present on a server's response if the request was not run.
     pub not_run: HeaderName,
+    /// Requests per second, as a decimal number, that the server accepts from all daemons together;
+    /// absent if the server announces no rate limit.
+    pub rate_limit: HeaderName,
 }
--- a/crates/proxy/src/interface.rs
+++ b/crates/proxy/src/interface.rs
@@ -6,7 +6,7 @@
 use futures_util::future::BoxFuture;
 use monsooncart_policy::claims::{claim, ticket};
 use monsooncart_policy::{handle, outcome, service};
-use monsooncart_types::id;
+use monsooncart_types::{id, instance, rate};
 
 /// An address at which callers can reach the fleet.
 #[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
@@ -44,6 +44,16 @@
     /// Reports to all daemons that a server announced that it is leaving.
     fn report_leaving(&self, service: &id::Service, server: &id::Server);
 
+    /// Reports to all daemons the rate limit that a server announces, or that it no longer announces
+    /// one.
+    fn report_rate_limit(
+        &self,
+        service: &id::Service,
+        server: &id::Server,
+        started_millis: u64,
+        limit: Option<rate::Rate>,
+    );
+
     /// Returns the addresses for callers of a service, nearest first, and how long a caller may
     /// cache them; `None` for an unknown service.
     fn entries(&self, service: &id::Service) -> Option<(Vec<Entry>, Duration)>;
@@ -51,8 +61,8 @@
     /// Wakes the gossip sender to publish new evidence and load.
     fn wake_gossip(&self) {}
 
-    /// Returns the number of daemons that share a service's traffic, including this one.
-    fn daemon_count(&self, service: &id::Service) -> u32;
+    /// Returns the daemons that share a service's traffic, in ascending order.
+    fn daemons(&self, service: &id::Service) -> Vec<instance::Instance>;
 }
 
 /// Decides claims on tickets, so that the unrepeatable work of a ticket runs at most once.
--- a/crates/proxy/src/service.rs
+++ b/crates/proxy/src/service.rs
@@ -13,7 +13,7 @@
 use monsooncart_config::{rules, service};
 use monsooncart_policy::service::{Policy, View};
 use monsooncart_policy::{action, event, handle, health, inventory, outcome};
-use monsooncart_types::{id, map};
+use monsooncart_types::{id, instance, map, rate};
 use tokio::sync::mpsc;
 
 use crate::lock::lock;
@@ -53,8 +53,8 @@
     attempts: map::Map<handle::Attempt, handle::Request>,
     /// Actions that the policy has issued and that are not carried out yet; the buffer is reused.
     actions: Vec<action::Action>,
-    /// Number of daemons in the last inventory that the policy received.
-    daemon_count: u32,
+    /// Daemons in the last inventory that the policy received.
+    daemons: Vec<instance::Instance>,
 }
 
 pub struct Service {
@@ -167,7 +167,8 @@
                 rules::Detection::Balanced => health::Sensitivity::Balanced,
                 rules::Detection::Careful => health::Sensitivity::Careful,
             },
-            daemons: self.common.fleet.daemon_count(&self.name).max(1),
+            daemons: self.common.fleet.daemons(&self.name),
+            unix_origin: self.common.clock.unix_origin(),
             latency_objective: spec.objective.latency.0,
         }
     }
@@ -183,12 +184,15 @@
         lock(&self.state).is_some()
     }
 
-    /// Sends the inventory to the policy if the number of serving daemons changed.
-    pub fn refresh_daemon_count(self: &Arc<Self>) {
-        let daemon_count = self.common.fleet.daemon_count(&self.name).max(1);
+    /// Sends the inventory to the policy if the serving daemons changed.
+    pub fn refresh_daemons(self: &Arc<Self>) {
+        if !self.is_active() {
+            return;
+        }
+        let daemons = self.common.fleet.daemons(&self.name);
         let stale = lock(&self.state)
             .as_ref()
-            .is_some_and(|state| state.daemon_count != daemon_count);
+            .is_some_and(|state| state.daemons != daemons);
         if stale {
             self.send_inventory();
         }
@@ -231,7 +235,7 @@
         state.get_or_insert_with(|| {
             let mut policy = self.common.policies.create_policy(&self.name);
             let inventory = self.inventory();
-            let daemon_count = inventory.daemons;
+            let daemons = inventory.daemons.clone();
             let mut actions = Vec::new();
             let event = event::Event::Inventory(inventory);
             policy.handle(self.common.clock.now(), event, &mut actions);
@@ -240,7 +244,7 @@
                 pending: map::Map::default(),
                 attempts: map::Map::default(),
                 actions,
-                daemon_count,
+                daemons,
             }
         })
     }
@@ -265,7 +269,7 @@
             let mut state = lock(&self.state);
             let state = self.get_or_create_state(&mut state);
             if let event::Event::Inventory(inventory) = &event {
-                state.daemon_count = inventory.daemons;
+                state.daemons.clone_from(&inventory.daemons);
             }
             let mut events = VecDeque::from([event]);
             while let Some(event) = events.pop_front() {
@@ -385,6 +389,15 @@
                         .report_crash(&self.name, fingerprint, &server.spec.name);
                 }
             }
+            action::Action::ReportRateLimit {
+                server,
+                started_millis,
+                limit,
+            } => {
+                if let Some(name) = self.server_name(server) {
+                    self.report_rate_limit(&name, started_millis, limit);
+                }
+            }
             action::Action::Quarantine {
                 fingerprint,
                 duration,
@@ -456,6 +469,25 @@
         self.common.fleet.report_leaving(&self.name, name);
     }
 
+    /// Logs and publishes the rate limit that a server announces.
+    fn report_rate_limit(
+        &self,
+        server: &id::Server,
+        started_millis: u64,
+        limit: Option<rate::Rate>,
+    ) {
+        match limit {
+            Some(limit) => {
+                log::info!(service:% = self.name, server:%, limit:%; "health: server announces a rate limit");
+            }
+            None => {
+                log::info!(service:% = self.name, server:%; "health: server no longer announces a rate limit");
+            }
+        }
+        let fleet = &self.common.fleet;
+        fleet.report_rate_limit(&self.name, server, started_millis, limit);
+    }
+
     /// Wakes the gossip sender to publish new evidence and load.
     pub fn wake_gossip(&self) {
         self.common.fleet.wake_gossip();
--- a/crates/proxy/tests/all/fakes.rs
+++ b/crates/proxy/tests/all/fakes.rs
@@ -7,9 +7,9 @@
 use futures_util::FutureExt as _;
 use futures_util::future::BoxFuture;
 use monsooncart_policy::claims::{claim, ticket};
-use monsooncart_policy::{balancer, handle, naive, service};
+use monsooncart_policy::{balancer, handle, naive, selector, service};
 use monsooncart_proxy::interface;
-use monsooncart_types::{id, instance, map};
+use monsooncart_types::{id, instance, map, rate};
 
 fn locked<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
@@ -21,6 +21,7 @@
     leaving: Mutex<Vec<id::Server>>,
     ejected: Mutex<Vec<id::Server>>,
     entry: Mutex<Option<net::SocketAddr>>,
+    rate_limits: Mutex<Vec<(id::Server, Option<rate::Rate>)>>,
 }
 
 impl Fleet {
@@ -28,6 +29,11 @@
         locked(&self.leaving).clone()
     }
 
+    /// Rate limits of servers that were reported, in order.
+    pub fn rate_limits(&self) -> Vec<(id::Server, Option<rate::Rate>)> {
+        locked(&self.rate_limits).clone()
+    }
+
     /// Sets the address that is returned as the service's entry.
     pub fn set_entry(&self, address: net::SocketAddr) {
         *locked(&self.entry) = Some(address);
@@ -61,8 +67,18 @@
         (service.as_str() == "wiredesk").then(|| (vec![entry], Duration::from_secs(30)))
     }
 
-    fn daemon_count(&self, _: &id::Service) -> u32 {
-        1
+    fn report_rate_limit(
+        &self,
+        _: &id::Service,
+        server: &id::Server,
+        _: u64,
+        limit: Option<rate::Rate>,
+    ) {
+        locked(&self.rate_limits).push((server.clone(), limit));
+    }
+
+    fn daemons(&self, _: &id::Service) -> Vec<instance::Instance> {
+        vec![INSTANCE]
     }
 }
 
@@ -202,6 +218,19 @@
     }
 }
 
+/// Creates the policies of gateway deployments.
+pub struct Selector;
+
+impl interface::Policies for Selector {
+    fn create_policy(&self, _: &id::Service) -> Box<dyn service::Policy> {
+        let config = selector::Config::new(POLICY_SEED).instance(INSTANCE);
+        Box::new(config.build())
+    }
+}
+
+/// The only daemon of the fleet.
+const INSTANCE: instance::Instance = instance::Instance(1);
+
 /// Random seed of the policies.
 const POLICY_SEED: u64 = 11;
 
--- a/crates/proxy/tests/all/fixture.rs
+++ b/crates/proxy/tests/all/fixture.rs
@@ -206,15 +206,25 @@
         deadline: "x-deadline".parse().unwrap(),
         server: "x-server".parse().unwrap(),
         not_run: "x-not-run".parse().unwrap(),
+        rate_limit: "x-rate-limit".parse().unwrap(),
     }
 }
 
 /// Starts an engine with host routing. `wires.example` has the repeatable route `/items/` and the
 /// unrepeatable route `/orders/`, both with this timeout.
 pub async fn start_host_proxy(addresses: &[net::SocketAddr], timeout: Duration) -> Proxy {
+    start_host_proxy_with(addresses, timeout, Arc::new(fakes::Naive)).await
+}
+
+/// As [`start_host_proxy`], with these policies.
+pub async fn start_host_proxy_with(
+    addresses: &[net::SocketAddr],
+    timeout: Duration,
+    policies: Arc<dyn interface::Policies>,
+) -> Proxy {
     let config = config::Config::new("entry-1".parse().unwrap(), "attica-a".parse().unwrap());
     let config = config.host_routing(Some(header_names()));
-    let config = config.policies(Arc::new(fakes::Naive));
+    let config = config.policies(policies);
     start_engine(
         bind_listener().await,
         config,
--- a/crates/proxy/tests/all/main.rs
+++ b/crates/proxy/tests/all/main.rs
@@ -18,6 +18,7 @@
 mod limits;
 mod not_run;
 mod policy_actions;
+mod rate_limits;
 mod routing;
 mod statuses;
 mod stopping;
--- /dev/null
+++ b/crates/proxy/tests/all/rate_limits.rs
@@ -0,0 +1,91 @@
+//! Rate limits that servers announce in their responses.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::Request;
+use http_body_util::Full;
+use monsooncart_types::{id, rate};
+
+use crate::scripted::{ScriptedServer, Step};
+use crate::{fakes, fixture};
+
+/// Timeout of the routes.
+const TIMEOUT: Duration = Duration::from_secs(30);
+
+/// Number of requests in a row, far more than the limit of zero allows in a second.
+const REQUESTS: usize = 8;
+
+fn request() -> Request<Full<bytes::Bytes>> {
+    let mut request = fixture::request("POST", "/orders/1", "");
+    request
+        .headers_mut()
+        .insert("x-request", "1".parse().unwrap());
+    request
+}
+
+/// A response with this status line and these further header lines.
+fn response(status: &str, headers: &str) -> Vec<Step> {
+    let text = format!(
+        "HTTP/1.1 {status}\r\nx-request: 1\r\nconnection: close\r\n{headers}content-length: 0\r\n\r\n"
+    );
+    vec![Step::ReadHead, Step::Write(text.into_bytes())]
+}
+
+/// Limits that the proxy reports to the fleet after one request to a server that responds so.
+async fn reported_limits(status: &str, headers: &str) -> Vec<(id::Server, Option<rate::Rate>)> {
+    let server = ScriptedServer::start(response(status, headers)).await;
+    let policies = Arc::new(fakes::Selector);
+    let proxy = fixture::start_host_proxy_with(&[server.address], TIMEOUT, policies).await;
+    fixture::send(proxy.address, request()).await;
+    proxy.fakes.fleet.rate_limits()
+}
+
+#[tokio::test]
+async fn rate_limit_of_any_response_of_the_server_is_reported_to_the_fleet() {
+    for (status, headers) in [
+        ("200 OK", "x-rate-limit: 1.5\r\n"),
+        ("500 Internal Server Error", "x-rate-limit: 1.5\r\n"),
+        (
+            "503 Service Unavailable",
+            "x-not-run: 1\r\nx-rate-limit: 1.5\r\n",
+        ),
+    ] {
+        let reported = reported_limits(status, headers).await;
+
+        let expected = ("server-0".parse().unwrap(), Some(rate::Rate(1.5)));
+        assert_eq!(reported, [expected], "{status}");
+    }
+}
+
+#[tokio::test]
+async fn responses_without_a_valid_rate_limit_of_the_server_report_none() {
+    for (status, headers) in [
+        ("200 OK", ""),
+        ("200 OK", "x-rate-limit: few\r\n"),
+        ("200 OK", "x-rate-limit: -1\r\n"),
+        ("200 OK", "x-rate-limit: NaN\r\n"),
+        ("200 OK", "x-rate-limit: inf\r\n"),
+        ("200 OK", "x-rate-limit:\r\n"),
+        ("421 Misdirected Request", "x-rate-limit: 1.5\r\n"),
+    ] {
+        let reported = reported_limits(status, headers).await;
+
+        assert_eq!(reported, [], "{status} {headers}");
+    }
+}
+
+#[tokio::test]
+async fn server_with_a_rate_limit_of_zero_is_not_sent_every_request() {
+    let server = ScriptedServer::start(response("200 OK", "x-rate-limit: 0\r\n")).await;
+    let policies = Arc::new(fakes::Selector);
+    let proxy = fixture::start_host_proxy_with(&[server.address], TIMEOUT, policies).await;
+    let mut refused = 0;
+
+    for _ in 0..REQUESTS {
+        let answer = fixture::send(proxy.address, request()).await;
+        refused += usize::from(answer.status == http::StatusCode::SERVICE_UNAVAILABLE);
+    }
+
+    assert!(refused > 0);
+}
--- a/crates/types/src/rate.rs
+++ b/crates/types/src/rate.rs
@@ -12,7 +12,9 @@
 }
 
 /// Events per second.
-#[derive(Clone, Copy, Debug, Default, PartialEq, PartialOrd)]
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, PartialOrd, serde::Serialize, serde::Deserialize,
+)]
 pub struct Rate(pub f64);
 
 impl str::FromStr for Rate {
--- a/crates/wire/src/update.rs
+++ b/crates/wire/src/update.rs
@@ -7,7 +7,7 @@
 use monsooncart_policy::claims::successor;
 use monsooncart_policy::floor::mark;
 use monsooncart_policy::{event, handle};
-use monsooncart_types::{id, instance};
+use monsooncart_types::{id, instance, rate};
 
 /// A daemon's evidence about one backend server.
 #[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
@@ -90,6 +90,17 @@
         /// Process instance of the watcher.
         from: instance::Instance,
     },
+    /// A server announces a rate limit for all daemons together, or no longer announces one.
+    RateLimit {
+        /// The service.
+        service: id::Service,
+        /// The server.
+        server: id::Server,
+        /// Start time of the run that announced it, in milliseconds since 1970.
+        started_millis: u64,
+        /// The limit; `None` if the server no longer announces one.
+        limit: Option<rate::Rate>,
+    },
 }
 
 impl Update {
@@ -103,7 +114,10 @@
             Self::Mark { .. } | Self::Ledger { .. } => Some(EJECTION_RETENTION),
             Self::Succession(_) => Some(SUCCESSION_RETENTION),
             Self::Blame { .. } => Some(CRASH_RETENTION),
-            Self::Evidence { .. } | Self::Configuration { .. } | Self::Platform { .. } => None,
+            Self::Evidence { .. }
+            | Self::Configuration { .. }
+            | Self::Platform { .. }
+            | Self::RateLimit { .. } => None,
         }
     }
 }
