End a planned stop within the grace time, with responses to what is in flight

Cause: on the users' platform a planned stop accepted connections for half of the grace time and then waited without a limit for what was in flight. A request whose server does not respond kept the daemon until it was killed, and its caller got a broken connection.

Change: at nine tenths of the grace time the daemon responds to the requests that still wait for a server: 503 where nothing was sent, 502 where it may have run, an error response that was held back for a retry. At 0.97 of it the process ends. Deployments of the project's own interface wait without a limit as before.

Before: gateway::planned_stop_answers_requests_that_outlast_its_grace_time got no response within 60 s.

--- a/crates/daemon/src/engine.rs
+++ b/crates/daemon/src/engine.rs
@@ -9,6 +9,7 @@
 use monsooncart_task as task;
 use tokio::net::TcpListener;
 use tokio::sync::Notify;
+use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
@@ -253,8 +254,10 @@
     ///
     /// The daemon removes itself from the entry responses and keeps serving until those that name
     /// it have expired. Then it asks callers to close their connections, accepts no new ones, waits
-    /// without a limit for requests in flight, hands over its claims and stops. Dropping the future
-    /// leaves the daemon draining.
+    /// for requests in flight, hands over its claims and stops. In gateway deployments, whose
+    /// platform kills it at the end of its grace period, it answers the requests that are left
+    /// shortly before; in others it waits without a limit. Dropping the future leaves the daemon
+    /// draining.
     pub async fn stop(&self) {
         let core = &self.shared.components.core;
         if self.shared.draining.swap(true, Ordering::Relaxed) {
@@ -264,15 +267,46 @@
         if let Some(cluster) = core.cluster() {
             cluster.drain();
         }
-        let accept_duration = match &core.settings.gateway {
-            Some(gateway) => gateway::accept_duration(gateway),
-            None => LEAVE_PROPAGATION_TIME + core.settings.entry_lifetime.0,
-        };
-        tokio::time::sleep(accept_duration).await;
+        match &core.settings.gateway {
+            Some(gateway) => self.stop_within(gateway::StopPhases::new(gateway)).await,
+            None => {
+                let accept_duration = LEAVE_PROPAGATION_TIME + core.settings.entry_lifetime.0;
+                tokio::time::sleep(accept_duration).await;
+                self.close_callers().await;
+                self.shut_down().await;
+            }
+        }
+    }
+
+    /// Stops accepting connections and waits until those of the callers are closed.
+    async fn close_callers(&self) {
         self.shared.stop_accepting.cancel();
         self.shared.caller_tasks.close();
         self.shared.caller_tasks.wait().await;
-        self.shut_down().await;
+    }
+
+    /// Serves and stops in the phases of a grace period.
+    async fn stop_within(&self, phases: gateway::StopPhases) {
+        let start = Instant::now();
+        tokio::time::sleep(phases.accept).await;
+        let closed = tokio::time::timeout_at(start + phases.abandon, self.close_callers()).await;
+        if closed.is_err() {
+            log::warn!(in_flight = self.in_flight(); "daemon: grace time is ending; responding to the requests in flight");
+            if let Some(proxy) = self.shared.components.core.proxy() {
+                proxy.abandon_requests();
+            }
+            let closing = self.shared.caller_tasks.wait();
+            let closed = tokio::time::timeout_at(start + phases.exit, closing).await;
+            if closed.is_err() {
+                log::warn!(cut = self.in_flight(); "daemon: grace time has ended; closing the connections that are left");
+            }
+        }
+        if tokio::time::timeout_at(start + phases.exit, self.shut_down())
+            .await
+            .is_err()
+        {
+            log::warn!("daemon: grace time has ended during the shutdown");
+        }
     }
 
     async fn shut_down(&self) {
--- a/crates/daemon/src/meter.rs
+++ b/crates/daemon/src/meter.rs
@@ -82,6 +82,8 @@
         outcome::Reason::Poison => (sample::Fault::Poison, sample::Decision::Quarantined),
         outcome::Reason::Unknown => (sample::Fault::Broken, sample::Decision::NotRepeated),
         outcome::Reason::Exhausted => (sample::Fault::Broken, sample::Decision::Exhausted),
-        outcome::Reason::Timeout => (sample::Fault::Timeout, decision_by_attempts),
+        outcome::Reason::Timeout | outcome::Reason::Stopping => {
+            (sample::Fault::Timeout, decision_by_attempts)
+        }
     }
 }
--- a/crates/policy/src/outcome.rs
+++ b/crates/policy/src/outcome.rs
@@ -96,6 +96,8 @@
     Exhausted,
     /// No response was received in time.
     Timeout,
+    /// The daemon stops before a response was received.
+    Stopping,
 }
 
 /// The final response to a request that the fleet generates itself.
--- a/crates/proxy/src/common.rs
+++ b/crates/proxy/src/common.rs
@@ -9,6 +9,7 @@
 use monsooncart_policy::{handle, outcome};
 use monsooncart_types::{id, map};
 use tokio::sync::watch;
+use tokio_util::sync::CancellationToken;
 
 use crate::lock::lock;
 use crate::{
@@ -41,6 +42,8 @@
     pub traces: trace::Ring,
     /// Whether the daemon is draining.
     pub draining: watch::Sender<bool>,
+    /// Cancelled when requests without a response are abandoned.
+    pub abandoned: CancellationToken,
     /// Distinguishes the attempts of this process from those of any other.
     pub nonce: u64,
     next_request_number: AtomicU64,
@@ -100,6 +103,7 @@
             decisions: decision::Ring::default(),
             traces: trace::Ring::default(),
             draining: watch::Sender::new(false),
+            abandoned: CancellationToken::new(),
             nonce,
             next_request_number: AtomicU64::new(process_bits << SEQUENCE_BITS),
             next_attempt_number: AtomicU64::new(0),
--- a/crates/proxy/src/engine.rs
+++ b/crates/proxy/src/engine.rs
@@ -324,6 +324,12 @@
         self.shared.common.drain();
     }
 
+    /// Responds to the requests that wait for a response of a server, now and from now on. Those that
+    /// may have run are reported as such.
+    pub fn abandon_requests(&self) {
+        self.shared.common.abandoned.cancel();
+    }
+
     /// Returns the number of requests in flight.
     #[must_use]
     pub fn in_flight(&self) -> usize {
--- a/crates/proxy/src/pass.rs
+++ b/crates/proxy/src/pass.rs
@@ -69,6 +69,7 @@
         let mut pending = self.service.submit(arrival);
         let mut attempts = Attempts::new();
         let mut abort_handles = map::Map::default();
+        let common = self.common.clone();
         loop {
             tokio::select! {
                 biased;
@@ -120,6 +121,10 @@
                         };
                     }
                 },
+                () = common.abandoned.cancelled() => {
+                    drop(attempts);
+                    return self.abandon(error_reply);
+                }
                 () = sleep_until(self.deadline), if attempts.is_empty() => {
                     let execution = self.account.execution();
                     return self.refuse(outcome::Refusal {
@@ -320,6 +325,21 @@
         response
     }
 
+    /// Ends a request because the daemon stops. An error response that was held back for a retry is
+    /// forwarded.
+    fn abandon(self, error_reply: Option<ForwardableReply>) -> http::Response<body::Body> {
+        if let Some(error) = error_reply {
+            return self.respond(error);
+        }
+        let execution = self.account.execution();
+        let is_not_run = execution == outcome::Execution::NotRun;
+        self.refuse(outcome::Refusal {
+            reason: outcome::Reason::Stopping,
+            execution,
+            retry_after: is_not_run.then_some(STOPPING_RETRY_AFTER),
+        })
+    }
+
     fn refuse(mut self, mut refusal: outcome::Refusal) -> http::Response<body::Body> {
         if self.account.execution() == outcome::Execution::Unknown {
             refusal.execution = outcome::Execution::Unknown;
@@ -366,6 +386,9 @@
 /// Retry delay for a request that reached its deadline while queued.
 const DEADLINE_RETRY_AFTER: Duration = Duration::from_secs(1);
 
+/// Retry delay for a request that was not sent when the daemon stopped; other daemons can take it.
+const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(100);
+
 /// A reply that can be forwarded to the caller.
 struct ForwardableReply {
     reply: exchange::Reply,
--- a/crates/proxy/src/problem.rs
+++ b/crates/proxy/src/problem.rs
@@ -119,6 +119,13 @@
                 StatusCode::GATEWAY_TIMEOUT,
                 "no answer came within the route's timeout",
             ),
+            outcome::Reason::Stopping => (
+                match refusal.execution {
+                    outcome::Execution::NotRun => StatusCode::SERVICE_UNAVAILABLE,
+                    outcome::Execution::Unknown => StatusCode::BAD_GATEWAY,
+                },
+                "the daemon stops, and no answer came within its grace time",
+            ),
         };
         Self {
             status,
--- a/tests/all/gateway.rs
+++ b/tests/all/gateway.rs
@@ -243,6 +243,55 @@
     assert!(status.success(), "{status}");
 }
 
+/// Guards against a planned stop that outlasts its grace time, at whose end the daemon is killed and
+/// its callers get no response.
+#[tokio::test(flavor = "multi_thread")]
+async fn planned_stop_answers_requests_that_outlast_its_grace_time() {
+    // Longer than the test waits for the daemon to stop.
+    let timeout = Duration::from_secs(600);
+    let mut gateway = Gateway::start(2, 1).await;
+    let mut rules = gateway::rules();
+    for (prefix, route_type) in [("/slow-read/", "safe"), ("/slow-buy/", "unsafe")] {
+        let mut route = gateway::rule(prefix, route_type, gateway::SERVICE);
+        route["action"]["timeout_s"] = json!(timeout.as_secs());
+        rules.push(route);
+    }
+    gateway
+        .registry
+        .put("config", "main", &gateway::configuration(5, &rules));
+    wait::until("new routes are in force", || async {
+        let reply = gateway.daemons[0]
+            .send("GET", "/slow-read/x", "first")
+            .await;
+        reply.is_ok_and(|reply| reply.status == 200)
+    })
+    .await;
+    gateway.servers[0].set_delay(timeout);
+    let mut leaving = gateway.daemons.remove(0);
+    let read = leaving.send_with_deadline("GET", "/slow-read/x", "stop-1", timeout);
+    let buy = leaving.send_with_deadline("POST", "/slow-buy/x", "stop-2", timeout);
+    let stop = async {
+        for id in ["stop-1", "stop-2"] {
+            wait::until("the request is executing", || async {
+                gateway.executions(id) == 1
+            })
+            .await;
+        }
+        leaving.process.signal(Signal::TERM);
+    };
+
+    let replies = async { tokio::join!(read, buy, stop) };
+    let replies = tokio::time::timeout(wait::TIMEOUT, replies).await;
+
+    let (read, buy, ()) = replies.expect("responses to both requests");
+    for reply in [read, buy] {
+        let status = reply.expect("a response, not a broken connection").status;
+        assert!([502, 504].contains(&status), "{status}");
+    }
+    let status = leaving.process.wait(Duration::from_secs(30));
+    assert!(status.success(), "{status}");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn hangup_signal_aborts_no_request() {
     let mut gateway = Gateway::start(1, 1).await;
