Send nothing more to a server that announces its leaving in a response

Servers that leave say so in all their responses too (Server-Leaving: 1). The daemons forwarded the header and went on until the platform's entry said so.

Change: policy::leaving::Runs remembers the latest leaving run of each server, from a response of the server itself, a report of another daemon or an entry of the platform. Nothing older brings such a run back: neither an entry that is listed again, nor a reload, nor a change of routes; a later run ends it. Inventories mark such runs as leaving, and the request path compares once more before it writes a request, so that one that chose the server earlier goes elsewhere (outcome `removed`, no attempt or retry used up). The first response is reported to all daemons at once; reports name the run (Update::RunLeaving), as a retained report would otherwise withdraw a later run of the same name.

The search over orders of responses, reports and entries finds the fault where only the entry counts.

--- a/crates/daemon/src/fleet.rs
+++ b/crates/daemon/src/fleet.rs
@@ -110,11 +110,21 @@
         );
     }
 
-    fn report_leaving(&self, service: &id::Service, server: &id::Server) {
-        self.publish(update::Update::Leaving {
-            service: service.clone(),
-            server: server.clone(),
-        });
+    fn report_leaving(&self, service: &id::Service, server: &id::Server, started_millis: u64) {
+        let (service_name, server_name) = (service.clone(), server.clone());
+        if started_millis == 0 {
+            self.publish(update::Update::Leaving {
+                service: service_name,
+                server: server_name,
+            });
+        } else {
+            let update = update::Update::RunLeaving {
+                service: service_name,
+                server: server_name,
+                started_millis,
+            };
+            self.publish_urgent(service, update);
+        }
         let input = floors::Input::ServerLeaving(service.clone(), server.clone());
         self.send_to_floors(input);
     }
--- a/crates/daemon/src/rpc.rs
+++ b/crates/daemon/src/rpc.rs
@@ -37,9 +37,9 @@
         }
     }
 
-    fn record_leaving(&self, service: id::Service, server: id::Server) {
+    fn record_leaving(&self, service: id::Service, server: id::Server, started_millis: u64) {
         if let Some(proxy) = self.core.proxy() {
-            proxy.record_leaving(&service, &server);
+            proxy.record_leaving(&service, &server, started_millis);
         }
         self.send_to_floors(floors::Input::ServerLeaving(service, server));
     }
@@ -155,7 +155,12 @@
                     proxy.merge_evidence(&service, from, pairs.collect());
                 }
             }
-            update::Update::Leaving { service, server } => self.record_leaving(service, server),
+            update::Update::Leaving { service, server } => self.record_leaving(service, server, 0),
+            update::Update::RunLeaving {
+                service,
+                server,
+                started_millis,
+            } => self.record_leaving(service, server, started_millis),
             update::Update::Blame {
                 service,
                 fingerprint,
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod handle;
 pub mod health;
 pub mod inventory;
+pub mod leaving;
 pub mod membership;
 pub mod naive;
 pub mod outcome;
--- a/crates/policy/src/outcome.rs
+++ b/crates/policy/src/outcome.rs
@@ -42,7 +42,8 @@
     },
     /// No byte of the request was written to the socket.
     Unsent,
-    /// The server was removed from the configuration before a connection was chosen.
+    /// The server was removed from the configuration, or is known to be leaving, before the request
+    /// was written to a connection.
     Removed,
     /// The connection failed after bytes were sent and before the response was complete.
     Broken,
--- a/crates/policy/tests/search/main.rs
+++ b/crates/policy/tests/search/main.rs
@@ -9,4 +9,5 @@
 mod bfs;
 mod claims;
 mod floor;
+mod leaving;
 mod rollout;
--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -6,7 +6,7 @@
 use monsooncart_policy::{event, handle, outcome};
 use monsooncart_types::rate;
 
-use crate::service;
+use crate::{server, service};
 
 /// An attempt that the policy waits for; reported as cancelled if it is dropped unfinished.
 pub struct Attempt {
@@ -32,6 +32,11 @@
             .handle_event(event::Event::ResponseHead { attempt, status });
     }
 
+    /// Reports that the server announces in its response that it is leaving.
+    pub fn report_leaving(&self, server: &server::Server) {
+        self.service.report_leaving(server);
+    }
+
     /// Reports the rate limit that the server announces in its response; `None` if it announces none.
     pub fn report_rate_limit(&self, limit: Option<rate::Rate>) {
         let attempt = self.attempt;
--- a/crates/proxy/src/common.rs
+++ b/crates/proxy/src/common.rs
@@ -6,7 +6,7 @@
 use arc_swap::ArcSwap;
 use http::HeaderValue;
 use monsooncart_config::{routing, settings};
-use monsooncart_policy::{handle, outcome};
+use monsooncart_policy::{handle, leaving, outcome};
 use monsooncart_types::{id, map};
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
@@ -42,6 +42,7 @@
     pub traces: trace::Ring,
     /// Whether the daemon is draining.
     pub draining: watch::Sender<bool>,
+    leaving_runs: Mutex<leaving::Runs>,
     /// Cancelled when requests without a response are abandoned.
     pub abandoned: CancellationToken,
     /// Distinguishes the attempts of this process from those of any other.
@@ -103,6 +104,7 @@
             decisions: decision::Ring::default(),
             traces: trace::Ring::default(),
             draining: watch::Sender::new(false),
+            leaving_runs: Mutex::default(),
             abandoned: CancellationToken::new(),
             nonce,
             next_request_number: AtomicU64::new(process_bits << SEQUENCE_BITS),
@@ -154,6 +156,16 @@
             .or_insert(handle::Organisation(next))
     }
 
+    /// Records that a run of a server is leaving; returns whether it was not known.
+    pub fn record_leaving(&self, server: &id::Server, started_millis: u64) -> bool {
+        lock(&self.leaving_runs).record(server, started_millis)
+    }
+
+    /// Whether a run of a server is known to be leaving.
+    pub fn is_leaving(&self, server: &id::Server, started_millis: u64) -> bool {
+        lock(&self.leaving_runs).contains(server, started_millis)
+    }
+
     /// Whether the daemon is draining.
     pub fn is_draining(&self) -> bool {
         *self.draining.borrow()
--- a/crates/proxy/src/engine.rs
+++ b/crates/proxy/src/engine.rs
@@ -190,11 +190,20 @@
         });
     }
 
-    /// Records that another daemon or the inventory reported a server as leaving.
-    pub fn record_leaving(&self, service: &id::Service, server: &id::Server) {
+    /// Records that another daemon reported a run of a server as leaving; its current run if
+    /// `started_millis` is 0.
+    pub fn record_leaving(&self, service: &id::Service, server: &id::Server, started_millis: u64) {
+        // Remembered also if the server is not known yet.
+        self.shared.common.record_leaving(server, started_millis);
         let known = self.shared.service(service);
         let handle = known.as_ref().and_then(|known| known.server_handle(server));
-        if let Some((known, handle)) = known.zip(handle) {
+        let Some((known, handle)) = known.zip(handle) else {
+            return;
+        };
+        let is_current = known.started_millis(handle).is_some_and(|current| {
+            started_millis == 0 || self.shared.common.is_leaving(server, current)
+        });
+        if is_current {
             known.handle_event(event::Event::Leaving(handle));
         }
     }
--- a/crates/proxy/src/exchange.rs
+++ b/crates/proxy/src/exchange.rs
@@ -127,6 +127,11 @@
     attempt: &attempt::Attempt,
     mut connection: link::Connection,
 ) -> Result<Reply, Failure> {
+    let spec = &call.server.spec;
+    if common.is_leaving(&spec.name, spec.started_millis) {
+        // It was not known to be leaving when it was chosen.
+        return Err(outcome::Outcome::Removed.into());
+    }
     let mut tracker = SendTracker {
         gate: connection.gate.clone(),
         written_bytes_before: connection.gate.written_bytes(),
@@ -153,7 +158,7 @@
     }
     let refusal = parse_refusal(common, &head);
     if refusal.is_none_or(|failure| failure.outcome != outcome::Outcome::Misdirected) {
-        report_rate_limit(common, call, attempt, &head);
+        report_announcements(common, call, attempt, &head);
     }
     if let Some(failure) = refusal {
         tracker.refused = true;
@@ -359,9 +364,8 @@
     head.status.as_u16() >= 200 && has_required_echo && echoes.all(|echo| echo == correlation_id)
 }
 
-/// Reports the rate limit that the server announces. A malformed one is ignored, so that the limit
-/// that is known remains in force.
-fn report_rate_limit(
+/// Reports what the server announces about itself in the headers of any response.
+fn report_announcements(
     common: &common::Common,
     call: &Call,
     attempt: &attempt::Attempt,
@@ -370,7 +374,22 @@
     let Some(host_headers) = &common.host_headers else {
         return;
     };
-    let name = &host_headers.rate_limit;
+    let leaving = head.headers.get(&host_headers.leaving);
+    if leaving.is_some_and(|value| value == "1") {
+        attempt.report_leaving(&call.server);
+    }
+    report_rate_limit(common, call, attempt, head, &host_headers.rate_limit);
+}
+
+/// Reports the rate limit that the server announces. A malformed one is ignored, so that the limit
+/// that is known remains in force.
+fn report_rate_limit(
+    common: &common::Common,
+    call: &Call,
+    attempt: &attempt::Attempt,
+    head: &http::response::Parts,
+    name: &http::HeaderName,
+) {
     let Some(value) = head.headers.get(name) else {
         attempt.report_rate_limit(None);
         return;
--- a/crates/proxy/src/host_routing.rs
+++ b/crates/proxy/src/host_routing.rs
@@ -16,6 +16,8 @@
     pub server: HeaderName,
     /// Present on a server's response if the request was not run.
     pub not_run: HeaderName,
+    /// Has the value `1` on a server's response if the server is leaving.
+    pub leaving: HeaderName,
     /// Requests per second, as a decimal number, that the server accepts from all daemons together;
     /// absent if the server announces no rate limit.
     pub rate_limit: HeaderName,
--- a/crates/proxy/src/interface.rs
+++ b/crates/proxy/src/interface.rs
@@ -41,8 +41,8 @@
         duration: Duration,
     );
 
-    /// Reports to all daemons that a server announced that it is leaving.
-    fn report_leaving(&self, service: &id::Service, server: &id::Server);
+    /// Reports to all daemons that a run of a server announced that it is leaving.
+    fn report_leaving(&self, service: &id::Service, server: &id::Server, started_millis: u64);
 
     /// Reports to all daemons the rate limit that a server announces, or that it no longer announces
     /// one.
--- a/crates/proxy/src/service.rs
+++ b/crates/proxy/src/service.rs
@@ -125,6 +125,11 @@
             let handle = *handles
                 .entry(server_spec.name.clone())
                 .or_insert(new_handle);
+            if server_spec.leaving {
+                let started_millis = server_spec.started_millis;
+                self.common
+                    .record_leaving(&server_spec.name, started_millis);
+            }
             let unchanged = old
                 .servers
                 .get(&handle)
@@ -150,7 +155,7 @@
             name: s.spec.name.clone(),
             slots: s.spec.slots,
             local: s.spec.data_centre == self.common.data_centre,
-            leaving: s.spec.leaving,
+            leaving: s.spec.leaving || self.common.is_leaving(&s.spec.name, s.spec.started_millis),
             remaining_warm_up: s.spec.remaining_warm_up.0,
             started_millis: s.spec.started_millis,
         };
@@ -202,6 +207,13 @@
         self.active_config.load().handles.get(name).copied()
     }
 
+    /// Start of the current run of a server, in milliseconds since 1970.
+    pub fn started_millis(&self, server: handle::Server) -> Option<u64> {
+        let active_config = self.active_config.load();
+        let server = active_config.servers.get(&server);
+        server.map(|server| server.spec.started_millis)
+    }
+
     pub fn server_name(&self, handle: handle::Server) -> Option<id::Server> {
         let active_config = self.active_config.load();
         active_config
@@ -456,7 +468,10 @@
 
     /// Records and publishes that a server announced that it is leaving.
     pub fn report_leaving(self: &Arc<Self>, server: &server::Server) {
-        let name = &server.spec.name;
+        let (name, started_millis) = (&server.spec.name, server.spec.started_millis);
+        if !self.common.record_leaving(name, started_millis) {
+            return;
+        }
         log::info!(service:% = self.name, server:% = name; "health: server announced that it is leaving");
         self.common.decisions.push(
             decision::Kind::Leaving,
@@ -466,7 +481,8 @@
             "the server said so".to_owned(),
         );
         self.handle_event(event::Event::Leaving(server.handle));
-        self.common.fleet.report_leaving(&self.name, name);
+        let fleet = &self.common.fleet;
+        fleet.report_leaving(&self.name, name, started_millis);
     }
 
     /// Logs and publishes the rate limit that a server announces.
--- a/crates/proxy/tests/all/fakes.rs
+++ b/crates/proxy/tests/all/fakes.rs
@@ -55,7 +55,7 @@
 
     fn quarantine(&self, _: &id::Service, _: handle::Fingerprint, _: Duration) {}
 
-    fn report_leaving(&self, _: &id::Service, server: &id::Server) {
+    fn report_leaving(&self, _: &id::Service, server: &id::Server, _: u64) {
         locked(&self.leaving).push(server.clone());
     }
 
--- a/crates/proxy/tests/all/fixture.rs
+++ b/crates/proxy/tests/all/fixture.rs
@@ -199,6 +199,9 @@
     )
 }
 
+/// Start of the run of all servers with host routing, in milliseconds.
+pub const SERVER_RUN: u64 = 1000;
+
 /// Names of headers with host routing.
 pub fn header_names() -> host_routing::HeaderNames {
     host_routing::HeaderNames {
@@ -206,6 +209,7 @@
         deadline: "x-deadline".parse().unwrap(),
         server: "x-server".parse().unwrap(),
         not_run: "x-not-run".parse().unwrap(),
+        leaving: "x-leaving".parse().unwrap(),
         rate_limit: "x-rate-limit".parse().unwrap(),
     }
 }
@@ -276,7 +280,7 @@
             slots: 64,
             leaving: false,
             cold: span::Span::default(),
-            started_millis: 1,
+            started_millis: SERVER_RUN,
         };
         let key = object::Key::Registration(format!("server-{number}").parse().unwrap());
         let value = object::Value::Registration(Some(Box::new(registration)));
--- a/crates/proxy/tests/all/main.rs
+++ b/crates/proxy/tests/all/main.rs
@@ -15,6 +15,7 @@
 mod cancelling;
 mod faults;
 mod forwarding;
+mod leaving;
 mod limits;
 mod not_run;
 mod policy_actions;
--- a/crates/proxy/tests/all/policy_actions.rs
+++ b/crates/proxy/tests/all/policy_actions.rs
@@ -351,7 +351,7 @@
     let server = handle::Server(0);
     let fingerprint = handle::Fingerprint(5);
 
-    proxy.engine.record_leaving(&service, &name);
+    proxy.engine.record_leaving(&service, &name, 0);
     proxy
         .engine
         .record_ejection(&service, &name, event::Ejection::Denied);
--- a/crates/testbed/src/worker.rs
+++ b/crates/testbed/src/worker.rs
@@ -55,12 +55,28 @@
     last_execution_started_at: Option<Instant>,
     /// Requests per second that its responses announce as the maximum for all daemons together.
     rate_limit: Option<f64>,
+    /// Whether its responses announce that it is leaving.
+    announces_leaving: bool,
     /// When each request arrived.
     arrivals: Vec<Instant>,
     /// Id of the server that replaced it at its address.
     successor: Option<String>,
 }
 
+impl State {
+    /// Header lines by which its responses announce its state.
+    fn announcements(&self) -> String {
+        let mut lines = String::new();
+        if let Some(limit) = self.rate_limit {
+            lines += &format!("server-limit: {limit}\r\n");
+        }
+        if self.announces_leaving {
+            lines += "server-leaving: 1\r\n";
+        }
+        lines
+    }
+}
+
 /// The simulated server.
 #[derive(Debug)]
 pub struct Worker {
@@ -109,6 +125,11 @@
         self.state().rate_limit = requests_per_second;
     }
 
+    /// Makes its responses announce that it is leaving.
+    pub fn announce_leaving(&self) {
+        self.state().announces_leaving = true;
+    }
+
     /// Returns when each request arrived.
     #[must_use]
     pub fn arrivals(&self) -> Vec<Instant> {
@@ -179,17 +200,15 @@
         // Id of the request whose response is repeated.
         let mut extra_id: Option<String> = None;
         while let Some(request) = read_request(&mut stream).await? {
-            let (mode, delay, rate_limit) = {
+            let (mode, delay, announcements) = {
                 let mut state = self.state();
                 state.heads.push(request.head.clone());
                 state.arrivals.push(Instant::now());
                 match state.successor {
-                    Some(_) => (Mode::Misdirected, Duration::ZERO, None),
-                    None => (state.mode, state.delay, state.rate_limit),
+                    Some(_) => (Mode::Misdirected, Duration::ZERO, String::new()),
+                    None => (state.mode, state.delay, state.announcements()),
                 }
             };
-            let limit_line =
-                rate_limit.map_or_else(String::new, |limit| format!("server-limit: {limit}\r\n"));
             if let Some(id) = extra_id.take() {
                 stream
                     .write_all(format_response("200 OK", &id, BODY).as_bytes())
@@ -203,7 +222,7 @@
             if let Some((status, header_line)) = rejection {
                 let id = &request.id;
                 let text = format!(
-                    "HTTP/1.1 {status}\r\nx-attempt-id: {id}\r\n{limit_line}{header_line}content-length: 0\r\n\r\n"
+                    "HTTP/1.1 {status}\r\nx-attempt-id: {id}\r\n{announcements}{header_line}content-length: 0\r\n\r\n"
                 );
                 stream.write_all(text.as_bytes()).await?;
                 continue;
@@ -240,7 +259,7 @@
                 }
                 _ => format_response("200 OK", &request.id, BODY),
             };
-            let text = text.replacen("\r\n", &format!("\r\n{limit_line}"), 1);
+            let text = text.replacen("\r\n", &format!("\r\n{announcements}"), 1);
             stream.write_all(text.as_bytes()).await?;
             match mode {
                 Mode::Cut | Mode::Unframed => return stream.shutdown().await,
--- a/crates/wire/src/update.rs
+++ b/crates/wire/src/update.rs
@@ -31,7 +31,7 @@
         /// Evidence about each server.
         digests: Vec<Evidence>,
     },
-    /// A server is draining; this is never revoked.
+    /// A server without runs is draining; this is never revoked.
     Leaving {
         /// The service.
         service: id::Service,
@@ -101,6 +101,15 @@
         /// The limit; `None` if the server no longer announces one.
         limit: Option<rate::Rate>,
     },
+    /// A run of a server that registers itself is draining; this is never revoked.
+    RunLeaving {
+        /// The service.
+        service: id::Service,
+        /// The server.
+        server: id::Server,
+        /// Start time of the run, in milliseconds since 1970.
+        started_millis: u64,
+    },
 }
 
 impl Update {
@@ -109,7 +118,7 @@
     #[must_use]
     pub fn retention(&self) -> Option<Duration> {
         match self {
-            Self::Leaving { .. } => Some(LEAVING_RETENTION),
+            Self::Leaving { .. } | Self::RunLeaving { .. } => Some(LEAVING_RETENTION),
             Self::Quarantine { span, .. } => Some(*span),
             Self::Mark { .. } | Self::Ledger { .. } => Some(EJECTION_RETENTION),
             Self::Succession(_) => Some(SUCCESSION_RETENTION),
--- a/tests/all/gateway.rs
+++ b/tests/all/gateway.rs
@@ -486,3 +486,32 @@
     let allowed = 1.5 * LIMIT * COUNTED_WINDOW.as_secs_f64() + SLACK;
     assert!(most as f64 <= allowed, "{most} requests, {allowed} allowed");
 }
+
+/// Guards against requests to a server that has announced in a response that it is leaving (DRAIN).
+#[tokio::test(flavor = "multi_thread")]
+async fn server_that_announces_its_leaving_in_a_response_receives_no_work() {
+    let gateway = Gateway::start(3, 3).await;
+    gateway.servers[0].announce_leaving();
+    wait::until("it has responded to a request", || async {
+        let before = gateway.executions_by(0);
+        for daemon in &gateway.daemons {
+            let reply = daemon.send("GET", "/read/x", "announced").await;
+            assert_eq!(reply.expect("response").status, 200);
+        }
+        gateway.executions_by(0) > before
+    })
+    .await;
+    // The platform does not know of it, nor does it respond.
+    gateway.register(0, "ready");
+    gateway.registry.set_fault(registry::Fault::Busy);
+    tokio::time::sleep(Gateway::PROPAGATION_TIME).await;
+    let before = gateway.executions_by(0);
+
+    for number in 0..60 {
+        let daemon = &gateway.daemons[number % 3];
+        let reply = daemon.send("GET", "/read/x", &format!("l{number}")).await;
+        assert_eq!(reply.expect("response").status, 200);
+    }
+
+    assert_eq!(gateway.executions_by(0), before);
+}
