Send a server nothing for the time that it asks for with Retry-After

A server that turns a request away may say for how long it wants nothing from that daemon. The time was taken in whole seconds only, cut to one second, and forgotten with the server's entry.

Change: a 503 or 429 of the server itself with Retry-After, marked as not run or not, holds the server back at this daemon until then. Nothing shortens a hold: a success of an earlier request, a shorter time, evidence of a peer, the removal and return of its entry; another run of the server ends it. Fractions count; negative values, NaN, dates and other text are ignored; more than an hour counts as an hour. Where all servers are held, callers are refused at once and told when the first hold ends. Other daemons are not affected.

The search over orders of events finds the fault with a policy without holds.

--- a/crates/policy/src/balancer.rs
+++ b/crates/policy/src/balancer.rs
@@ -106,8 +106,11 @@
                 self.poison.quarantine(fingerprint, expires_at);
             }
             event::Event::Tick => self.tick(now, actions),
-            // The servers of this policy's deployments announce no rate limits.
-            event::Event::RateLimit { .. } | event::Event::PeerRateLimit { .. } => {}
+            // The servers of this policy's deployments announce neither. Their retry delay arrives with
+            // the result of the attempt.
+            event::Event::RateLimit { .. }
+            | event::Event::PeerRateLimit { .. }
+            | event::Event::Hold { .. } => {}
         }
     }
 
--- a/crates/policy/src/selector.rs
+++ b/crates/policy/src/selector.rs
@@ -86,6 +86,16 @@
     mean_service_time: Option<Duration>,
     latency_objective: Duration,
     fleet: rate_limit::Fleet,
+    /// Holds of servers, by the run that asked for them, also of servers that are not configured at
+    /// the moment.
+    holds: map::Map<handle::Server, Hold>,
+}
+
+/// Until when a run of a server asked this daemon to send it nothing.
+#[derive(Clone, Copy, Debug)]
+struct Hold {
+    started_millis: u64,
+    until: time::Time,
 }
 
 impl service::Policy for Selector {
@@ -115,6 +125,7 @@
             event::Event::RateLimit { attempt, limit } => {
                 self.record_rate_limit(now, attempt, limit, actions);
             }
+            event::Event::Hold { attempt, duration } => self.record_hold(now, attempt, duration),
             event::Event::PeerRateLimit {
                 server,
                 started_millis,
@@ -176,13 +187,25 @@
             let known = old.remove(&spec.handle);
             self.servers.push(match known {
                 Some(known) => known.with_spec(now, spec),
-                None => server::Server::new(now, spec),
+                None => {
+                    let held_until = self.held_until(&spec);
+                    let mut new = server::Server::new(now, spec);
+                    new.hold_until(held_until);
+                    new
+                }
             });
         }
         let servers = self.servers.iter().enumerate();
         self.indices = servers.map(|(i, s)| (s.spec.handle, i)).collect();
     }
 
+    /// Until when the run of a server is to receive nothing.
+    fn held_until(&self, spec: &inventory::Server) -> time::Time {
+        let hold = self.holds.get(&spec.handle);
+        let hold = hold.filter(|hold| hold.started_millis == spec.started_millis);
+        hold.map_or(time::Time::ZERO, |hold| hold.until)
+    }
+
     /// Number of daemons that share the traffic, including this one.
     fn daemon_count(&self) -> u32 {
         u32::try_from(self.fleet.daemons.len())
@@ -223,11 +246,19 @@
             Some(target) => self.send(now, request, target, actions),
             None => {
                 let reason = self.unavailable_reason();
-                self.refuse(request, reason, actions);
+                self.refuse(now, request, reason, actions);
             }
         }
     }
 
+    /// Time until a server may receive requests again if all of them asked to be sent nothing; zero if
+    /// one of them did not.
+    fn time_until_available(&self, now: time::Time) -> Duration {
+        let servers = self.servers.iter().filter(|s| !s.is_unavailable());
+        let hold = servers.map(|server| server.held_until().since(now)).min();
+        hold.unwrap_or(Duration::ZERO)
+    }
+
     /// Reason of a refusal for lack of a server.
     fn unavailable_reason(&self) -> outcome::Reason {
         if self.servers.iter().all(server::Server::is_unavailable) {
@@ -299,6 +330,7 @@
 
     fn refuse(
         &mut self,
+        now: time::Time,
         request: handle::Request,
         reason: outcome::Reason,
         actions: &mut Vec<action::Action>,
@@ -317,10 +349,12 @@
         let retry_after = self
             .typical_latency()
             .mul_f64(RETRY_AFTER_RATIO * (0.5 + jitter));
+        // Before the first hold ends, a retry is refused again.
+        let retry_after = retry_after.clamp(min, max) + self.time_until_available(now);
         let refusal = outcome::Refusal {
             reason,
             execution,
-            retry_after: Some(retry_after.clamp(min, max)),
+            retry_after: Some(retry_after),
         };
         actions.push(action::Action::Refuse { request, refusal });
     }
@@ -405,7 +439,7 @@
             _ if !pending.may_have_run => outcome::Reason::NoServer,
             _ => outcome::Reason::Exhausted,
         };
-        self.refuse(request, reason, actions);
+        self.refuse(now, request, reason, actions);
     }
 
     /// Records attempts in flight that have become slow, and hedges requests.
@@ -413,6 +447,7 @@
         if !self.poison.is_empty() {
             self.poison.expire(now);
         }
+        self.holds.retain(|_, hold| hold.until > now);
         let slow_threshold = self.typical_latency().mul_f64(SLOW_RATIO);
         let mut ages = Vec::new();
         for (attempt, in_flight) in &mut self.in_flight {
--- a/crates/policy/src/selector/evidence.rs
+++ b/crates/policy/src/selector/evidence.rs
@@ -4,7 +4,7 @@
 
 use monsooncart_types::{instance, rate, time};
 
-use super::{Completion, SLOW_RATIO, Selector, in_flight};
+use super::{Completion, Hold, SLOW_RATIO, Selector, in_flight};
 use crate::{action, event, handle, outcome, poison};
 
 /// Lowest response status that counts as a failure.
@@ -184,6 +184,35 @@
         }
     }
 
+    /// Records that the server of an attempt asked to be sent nothing for a time.
+    pub(super) fn record_hold(
+        &mut self,
+        now: time::Time,
+        attempt: handle::Attempt,
+        duration: Duration,
+    ) {
+        let Some(in_flight) = self.in_flight.get(&attempt) else {
+            return;
+        };
+        let (server, started_millis) = (in_flight.server, in_flight.started_millis);
+        let until = now + duration;
+        let hold = self.holds.entry(server).or_insert(Hold {
+            started_millis,
+            until,
+        });
+        if hold.started_millis == started_millis {
+            hold.until = until.max(hold.until);
+        } else if hold.started_millis < started_millis {
+            *hold = Hold {
+                started_millis,
+                until,
+            };
+        }
+        if let Some(known) = self.server_in_run(server, started_millis) {
+            known.hold_until(until);
+        }
+    }
+
     /// Applies the rate limit that a peer reported.
     pub(super) fn merge_rate_limit(
         &mut self,
--- a/crates/policy/src/selector/server.rs
+++ b/crates/policy/src/selector/server.rs
@@ -98,6 +98,8 @@
     peer_loads: map::Map<instance::Instance, PeerLoad>,
     /// When the backoff after refusals and failed connections ends.
     backoff_ends_at: time::Time,
+    /// Until when the server asked to be sent nothing.
+    held_until: time::Time,
     consecutive_sheds: u32,
     consecutive_unreachable: u32,
     warm_up_ends_at: time::Time,
@@ -131,6 +133,7 @@
             in_flight: 0,
             peer_loads: map::Map::default(),
             backoff_ends_at: time::Time::ZERO,
+            held_until: time::Time::ZERO,
             consecutive_sheds: 0,
             consecutive_unreachable: 0,
             warm_up_ends_at: now + spec.remaining_warm_up,
@@ -205,6 +208,21 @@
         }
     }
 
+    /// Sends the server nothing until then, unless it asked for longer before.
+    pub fn hold_until(&mut self, until: time::Time) {
+        self.held_until = until.max(self.held_until);
+    }
+
+    /// Until when the server asked to be sent nothing.
+    pub fn held_until(&self) -> time::Time {
+        self.held_until
+    }
+
+    /// Whether a backoff or a hold is running.
+    fn is_waiting(&self, now: time::Time) -> bool {
+        now < self.backoff_ends_at.max(self.held_until)
+    }
+
     /// Whether the rate limit allows no further request from this daemon at the moment.
     fn is_rate_limited(&self) -> bool {
         let limiter = self.limiter.as_ref();
@@ -213,7 +231,7 @@
 
     /// Cost of an attempt, or `None` if no attempt may be sent.
     pub fn cost(&self, now: time::Time, request: &RequestProfile) -> Option<cost::Cost> {
-        if self.is_unavailable() || now < self.backoff_ends_at || self.is_rate_limited() {
+        if self.is_unavailable() || self.is_waiting(now) || self.is_rate_limited() {
             return None;
         }
         let slots = f64::from(self.spec.slots.max(1));
@@ -400,7 +418,7 @@
         let gray = self.belief.gray_probability(now);
         let state = match () {
             () if self.is_unavailable() => "leaving",
-            () if now < self.backoff_ends_at => "closed",
+            () if self.is_waiting(now) => "closed",
             () if gray > SUSPECT_PROBABILITY => "suspect",
             () => "active",
         };
--- a/crates/policy/tests/selector/main.rs
+++ b/crates/policy/tests/selector/main.rs
@@ -4,6 +4,7 @@
 mod budget;
 mod choice;
 mod fixture;
+mod hold;
 mod invariants;
 mod outcomes;
 mod overload;
--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -37,6 +37,13 @@
         self.service.report_leaving(server);
     }
 
+    /// Reports that the server asks this daemon to send it nothing for this time.
+    pub fn report_hold(&self, duration: Duration) {
+        let attempt = self.attempt;
+        self.service
+            .handle_event(event::Event::Hold { attempt, duration });
+    }
+
     /// Reports the rate limit that the server announces in its response; `None` if it announces none.
     pub fn report_rate_limit(&self, limit: Option<rate::Rate>) {
         let attempt = self.attempt;
--- a/crates/proxy/src/exchange.rs
+++ b/crates/proxy/src/exchange.rs
@@ -379,8 +379,19 @@
         attempt.report_leaving(&call.server);
     }
     report_rate_limit(common, call, attempt, head, &host_headers.rate_limit);
+    let is_overloaded = OVERLOADED_STATUSES.contains(&head.status);
+    let retry_after = header::parse_retry_after(&head.headers);
+    if let Some(retry_after) = retry_after.filter(|_| is_overloaded) {
+        attempt.report_hold(retry_after);
+    }
 }
 
+/// Statuses with which a server turns a request away because of its load.
+const OVERLOADED_STATUSES: [http::StatusCode; 2] = [
+    http::StatusCode::SERVICE_UNAVAILABLE,
+    http::StatusCode::TOO_MANY_REQUESTS,
+];
+
 /// Reports the rate limit that the server announces. A malformed one is ignored, so that the limit
 /// that is known remains in force.
 fn report_rate_limit(
@@ -419,17 +430,13 @@
     if head.status == http::StatusCode::MISDIRECTED_REQUEST {
         return Some(outcome::Outcome::Misdirected.into());
     }
-    let is_overloaded = matches!(
-        head.status,
-        http::StatusCode::SERVICE_UNAVAILABLE | http::StatusCode::TOO_MANY_REQUESTS
-    );
+    let is_overloaded = OVERLOADED_STATUSES.contains(&head.status);
     if !is_overloaded || !head.headers.contains_key(&host_headers.not_run) {
         return None;
     }
     Some(Failure {
         outcome: outcome::Outcome::Shed { leaving: false },
-        retry_after: header::parse_number(&head.headers, &names::RETRY_AFTER)
-            .map(Duration::from_secs),
+        retry_after: header::parse_retry_after(&head.headers),
     })
 }
 
@@ -445,8 +452,7 @@
         outcome: outcome::Outcome::Shed {
             leaving: header::is_true(&head.headers, &header::LEAVING),
         },
-        retry_after: header::parse_number(&head.headers, &names::RETRY_AFTER)
-            .map(Duration::from_secs),
+        retry_after: header::parse_retry_after(&head.headers),
     })
 }
 
--- a/crates/proxy/src/header.rs
+++ b/crates/proxy/src/header.rs
@@ -1,5 +1,7 @@
 //! Names of the fleet's headers, and removal of hop-by-hop headers.
 
+use std::time::Duration;
+
 use http::header::{self, HeaderMap, HeaderName};
 
 /// Request number, on every response.
@@ -80,6 +82,24 @@
     headers.get(name).is_some_and(|value| value == "true")
 }
 
+/// Longest retry delay that is taken from a response; a server is not waited for any longer.
+const MAX_RETRY_AFTER: Duration = Duration::from_secs(3600);
+
+/// Parses a retry delay in seconds, with or without a fraction.
+///
+/// `None` if it is absent, negative or no number; a date, which HTTP allows, counts as no number. A
+/// longer delay than [`MAX_RETRY_AFTER`] counts as that.
+pub fn parse_retry_after(headers: &HeaderMap) -> Option<Duration> {
+    let value = headers.get(header::RETRY_AFTER)?;
+    let seconds: f64 = value.to_str().ok()?.trim().parse().ok()?;
+    if seconds.is_nan() || seconds.is_sign_negative() {
+        return None;
+    }
+    Some(Duration::from_secs_f64(
+        seconds.min(MAX_RETRY_AFTER.as_secs_f64()),
+    ))
+}
+
 /// Parses a non-negative integer header.
 pub fn parse_number(headers: &HeaderMap, name: &HeaderName) -> Option<u64> {
     headers.get(name)?.to_str().ok()?.trim().parse().ok()
--- a/crates/proxy/tests/all/main.rs
+++ b/crates/proxy/tests/all/main.rs
@@ -15,6 +15,7 @@
 mod cancelling;
 mod faults;
 mod forwarding;
+mod holds;
 mod leaving;
 mod limits;
 mod not_run;
--- a/crates/testbed/src/worker.rs
+++ b/crates/testbed/src/worker.rs
@@ -55,6 +55,8 @@
     last_execution_started_at: Option<Instant>,
     /// Requests per second that its responses announce as the maximum for all daemons together.
     rate_limit: Option<f64>,
+    /// Seconds for which it asks to be sent nothing when it rejects a request.
+    retry_after: Option<f64>,
     /// Whether its responses announce that it is leaving.
     announces_leaving: bool,
     /// When each request arrived.
@@ -125,6 +127,11 @@
         self.state().rate_limit = requests_per_second;
     }
 
+    /// Sets the seconds for which it asks to be sent nothing when it rejects a request.
+    pub fn set_retry_after(&self, seconds: Option<f64>) {
+        self.state().retry_after = seconds;
+    }
+
     /// Makes its responses announce that it is leaving.
     pub fn announce_leaving(&self) {
         self.state().announces_leaving = true;
@@ -200,13 +207,18 @@
         // Id of the request whose response is repeated.
         let mut extra_id: Option<String> = None;
         while let Some(request) = read_request(&mut stream).await? {
-            let (mode, delay, announcements) = {
+            let (mode, delay, announcements, retry_after) = {
                 let mut state = self.state();
                 state.heads.push(request.head.clone());
                 state.arrivals.push(Instant::now());
                 match state.successor {
-                    Some(_) => (Mode::Misdirected, Duration::ZERO, String::new()),
-                    None => (state.mode, state.delay, state.announcements()),
+                    Some(_) => (Mode::Misdirected, Duration::ZERO, String::new(), None),
+                    None => (
+                        state.mode,
+                        state.delay,
+                        state.announcements(),
+                        state.retry_after,
+                    ),
                 }
             };
             if let Some(id) = extra_id.take() {
@@ -215,8 +227,16 @@
                     .await?;
             }
             let rejection = match mode {
-                Mode::Sheds => Some(("503 Service Unavailable", "x-not-executed: 1\r\n")),
-                Mode::Misdirected => Some(("421 Misdirected Request", "x-instance-id: other\r\n")),
+                Mode::Sheds => {
+                    let retry_after = retry_after
+                        .map_or_else(String::new, |seconds| format!("retry-after: {seconds}\r\n"));
+                    let headers = format!("x-not-executed: 1\r\n{retry_after}");
+                    Some(("503 Service Unavailable", headers))
+                }
+                Mode::Misdirected => Some((
+                    "421 Misdirected Request",
+                    "x-instance-id: other\r\n".to_owned(),
+                )),
                 _ => None,
             };
             if let Some((status, header_line)) = rejection {
--- a/tests/all/gateway.rs
+++ b/tests/all/gateway.rs
@@ -515,3 +515,21 @@
 
     assert_eq!(gateway.executions_by(0), before);
 }
+
+/// Guards against requests to a server within the time for which it asked to be sent nothing (BUDGET).
+#[tokio::test(flavor = "multi_thread")]
+async fn server_that_asks_for_a_pause_receives_one_request_of_each_daemon() {
+    let gateway = Gateway::start(3, 3).await;
+    gateway.servers[0].set_mode(worker::Mode::Sheds);
+    gateway.servers[0].set_retry_after(Some(600.5));
+    let before = gateway.servers[0].arrivals().len();
+
+    for number in 0..90 {
+        let daemon = &gateway.daemons[number % 3];
+        let reply = daemon.send("GET", "/read/x", &format!("p{number}")).await;
+        assert_eq!(reply.expect("response").status, 200);
+    }
+
+    let received = gateway.servers[0].arrivals().len() - before;
+    assert!(received <= gateway.daemons.len(), "{received} requests");
+}
