Order versions by the store's era, and the routing by the operators' version

In a drill the store returns from a copy some seconds old: what was written since is gone, and revisions are given out again (Store-Era rises). The daemons compared revisions alone.

Seen in three tests that fail before: a routing that was written after the return never came into force within 60 s (its revision is smaller than one that the daemons hold); a server that drained after it received 33 of 60 requests; servers that the copy lacks were dropped at once (503).

A watch whose answer has a later era logs and counts it and lists again, with removals deferred as after an outage; late answers of an earlier era are not used. The routing is ordered by the operators' own version, so an older one that the copy brings back does not replace a newer one, at daemons that started later too.

The registry of the stand-ins learns copies and restorations.

--- a/crates/cluster/src/spread/freshness.rs
+++ b/crates/cluster/src/spread/freshness.rs
@@ -14,6 +14,19 @@
 pub struct Freshness {
     last_answer_at: Mutex<Option<Instant>>,
     disconnected: Mutex<map::Set<instance::Instance>>,
+    /// Latest era of the platform's store; `None` before the first answer.
+    era: Mutex<Option<u64>>,
+}
+
+/// How the era of an answer compares with the latest one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Era {
+    /// The store has returned from an older copy since that answer was sent.
+    Earlier,
+    /// It is the latest one, or the first answer.
+    Current,
+    /// The store has returned from an older copy since the previous answers.
+    Later,
 }
 
 impl Freshness {
@@ -70,6 +83,18 @@
             .unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Compares the era of an answer with the latest one, which it replaces if it is later.
+    pub fn observe_era(&self, era: u64) -> Era {
+        let mut latest = self.era.lock().unwrap_or_else(PoisonError::into_inner);
+        let previous = *latest;
+        *latest = Some(era.max(previous.unwrap_or(era)));
+        match previous {
+            Some(previous) if era < previous => Era::Earlier,
+            Some(previous) if era > previous => Era::Later,
+            _ => Era::Current,
+        }
+    }
+
     /// Records that the platform answered `age_millis` ago; does nothing if that is `None`.
     pub fn record_answer(&self, age_millis: Option<u32>) {
         let Some(millis) = age_millis else {
--- a/crates/cluster/src/spread/held.rs
+++ b/crates/cluster/src/spread/held.rs
@@ -179,6 +179,10 @@
         let snapshot = self.snapshot();
         let listings = self.lock_listings();
         let judge = |object: Object| {
+            if object.key == object::Key::Routing {
+                // It is never removed, and its versions are the operators'.
+                return Some(object);
+            }
             let covers = |l: &&Listing| {
                 l.revision > object.version && source.key(l.prefix, &object.key).is_some()
             };
--- a/crates/cluster/src/spread/watch.rs
+++ b/crates/cluster/src/spread/watch.rs
@@ -9,7 +9,7 @@
 use monsooncart_wire::{frame, update};
 use rand::RngExt;
 
-use super::held;
+use super::{freshness, held};
 use crate::shared;
 
 /// Key by which the watchers of a region are ranked.
@@ -79,6 +79,8 @@
     /// Time of the first answer after the latest failure.
     reconnected_at: Option<Instant>,
     deferred_removals: Vec<DeferredRemoval>,
+    /// Era of the latest answer to this watch.
+    era: Option<u64>,
 }
 
 impl Watch {
@@ -94,6 +96,7 @@
             failures: 0,
             reconnected_at: None,
             deferred_removals: Vec::new(),
+            era: None,
         }
     }
 
@@ -144,6 +147,11 @@
                 since = self.list().await?;
                 continue;
             }
+            self.check_era(error::Operation::Watch, page.revision)?;
+            if page.revision.era() != since.era() {
+                since = self.list().await?;
+                continue;
+            }
             self.apply(&page.objects);
             self.apply_deferred_removals();
             since = page.revision.max(since);
@@ -192,6 +200,32 @@
         }
     }
 
+    /// Compares the era of an answer with those of earlier answers. In a later era, objects may be
+    /// missing until their writers have written them again, so their removal is deferred.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the answer is of an earlier era than another one.
+    fn check_era(
+        &mut self,
+        operation: error::Operation,
+        revision: object::Version,
+    ) -> Result<(), error::Error> {
+        let era = revision.era();
+        let comparison = self.shared.freshness.observe_era(era);
+        if comparison == freshness::Era::Earlier {
+            return Err(stale_answer(operation, revision));
+        }
+        if comparison == freshness::Era::Later {
+            shared::increment(&self.shared.counters.store_resets);
+        }
+        if self.era.replace(era).is_some_and(|known| known != era) {
+            log::warn!(prefix = self.prefix, era, revision = revision.revision(); "config: platform has returned from an older copy; listing again");
+            self.reconnected_at = Some(Instant::now());
+        }
+        Ok(())
+    }
+
     /// Lists all objects; returns the revision from which to watch.
     async fn list(&mut self) -> Result<object::Version, error::Error> {
         let mut after = String::new();
@@ -202,7 +236,11 @@
             let page = self.store.list(self.prefix, &after);
             let timeout = self.shared.timings.list_timeout;
             let page = with_timeout(timeout, error::Operation::List, page).await?;
+            self.check_era(error::Operation::List, page.revision)?;
             let first_revision = *revision.get_or_insert(page.revision);
+            if page.revision.era() != first_revision.era() {
+                return Err(stale_answer(error::Operation::List, first_revision));
+            }
             objects.extend(page.objects);
             match page.next {
                 Some(next) => after = next,
@@ -249,6 +287,7 @@
             let Some(new) = self.shared.source.decode(object) else {
                 continue;
             };
+            self.log_older_routing(&new);
             match removal_due_at {
                 Some(due_at) if object.value.is_none() => {
                     log::info!(object:% = new.key, version = new.version; "config: object is missing after an outage; deferring its removal");
@@ -263,6 +302,15 @@
         self.merge_and_announce(decoded);
     }
 
+    /// Logs that the platform has an older routing than this daemon, which keeps its own.
+    fn log_older_routing(&self, object: &held::Object) {
+        let stored = self.shared.replica.snapshot().version(&object.key);
+        let is_routing = object.key == monsooncart_config::object::Key::Routing;
+        if let Some(stored) = stored.filter(|stored| is_routing && *stored > object.version) {
+            log::warn!(stored, platform = object.version; "config: platform has an older routing; keeping the newer one");
+        }
+    }
+
     /// Applies the deferred removals that are due. They have no effect on objects that reappeared,
     /// as these have newer versions.
     fn apply_deferred_removals(&mut self) {
@@ -300,6 +348,15 @@
     }
 }
 
+/// The error of an answer from before the platform returned from an older copy.
+fn stale_answer(operation: error::Operation, revision: object::Version) -> error::Error {
+    error::Error::NotDone {
+        operation,
+        peer: "platform".to_owned(),
+        reason: format!("answer of the earlier era {}", revision.era()),
+    }
+}
+
 /// Applies a timeout to a call to the platform.
 async fn with_timeout<T>(
     timeout: Duration,
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -31,12 +31,17 @@
 }
 
 /// Name, help text and source of each metric.
-const COUNTERS: [(&str, &str, Read); 8] = [
+const COUNTERS: [(&str, &str, Read); 9] = [
     (
         "monsooncart_store_calls_total",
         "Calls of the platform's store, a waiting watch as one.",
         |core| read_cluster(core, |c| c.platform_calls.load(Ordering::Relaxed)),
     ),
+    (
+        "monsooncart_store_resets_total",
+        "Times that the platform's store had returned from an older copy.",
+        |core| read_cluster(core, |c| c.store_resets.load(Ordering::Relaxed)),
+    ),
     (
         "monsooncart_datagrams_sent_total",
         "Datagrams sent to other daemons.",
--- a/crates/store/src/object.rs
+++ b/crates/store/src/object.rs
@@ -2,7 +2,17 @@
 
 use bytes::Bytes;
 
-/// Version of an object: the revision of the store after the object's last write.
+/// Number of low bits of a version that hold the revision; the era is in the rest.
+const REVISION_BITS: u32 = 40;
+
+/// Maximum revision and maximum era.
+const MAX_REVISION: u64 = (1 << REVISION_BITS) - 1;
+const MAX_ERA: u64 = u64::MAX >> REVISION_BITS;
+
+/// Version of an object: the era of the store and its revision after the object's last write.
+///
+/// A store that returns from an older copy starts an era, in which revisions are used again. Versions
+/// of a later era are greater than all of an earlier one.
 #[derive(
     Clone,
     Copy,
@@ -20,6 +30,26 @@
 )]
 pub struct Version(pub u64);
 
+impl Version {
+    /// Creates the version of a revision in an era, which is 0 for stores without eras.
+    #[must_use]
+    pub fn new(era: u64, revision: u64) -> Self {
+        Self(era.min(MAX_ERA) << REVISION_BITS | revision.min(MAX_REVISION))
+    }
+
+    /// Era of the store.
+    #[must_use]
+    pub const fn era(self) -> u64 {
+        self.0 >> REVISION_BITS
+    }
+
+    /// Revision within the era.
+    #[must_use]
+    pub const fn revision(self) -> u64 {
+        self.0 & MAX_REVISION
+    }
+}
+
 /// An object, or a change of one in a watch.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Object {
--- a/crates/testbed/src/registry.rs
+++ b/crates/testbed/src/registry.rs
@@ -8,6 +8,7 @@
 use std::convert::Infallible;
 use std::io;
 use std::net;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -46,8 +47,14 @@
     /// Number of changes; wakes the waiting watches.
     changes: watch::Sender<u64>,
     fault: watch::Sender<Fault>,
+    /// Number of times that it was restored from a copy.
+    era: AtomicU64,
 }
 
+/// A copy of the store's data.
+#[derive(Clone, Debug)]
+pub struct Copy(state::State);
+
 impl Registry {
     /// Creates an empty store whose lists have pages of `page_objects` objects.
     #[must_use]
@@ -56,6 +63,7 @@
             state: Mutex::new(state::State::new(page_objects)),
             changes: watch::Sender::new(0),
             fault: watch::Sender::new(Fault::None),
+            era: AtomicU64::new(1),
         })
     }
 
@@ -85,6 +93,22 @@
         self.notify_watches();
     }
 
+    /// Copies the data.
+    #[must_use]
+    pub fn copy(&self) -> Copy {
+        Copy(self.state().clone())
+    }
+
+    /// Replaces the data by a copy: what was written since is gone, revisions are used again, and an
+    /// era starts.
+    pub fn restore(&self, copy: &Copy) {
+        let mut state = self.state();
+        *state = copy.0.clone();
+        self.era.fetch_add(1, Ordering::SeqCst);
+        drop(state);
+        self.notify_watches();
+    }
+
     /// Sets the fault; waiting watches fail.
     pub fn set_fault(&self, fault: Fault) {
         self.fault.send_replace(fault);
@@ -104,7 +128,7 @@
                 tokio::spawn(async move {
                     let service = service::service_fn(|request| {
                         let registry = registry.clone();
-                        async move { Ok::<_, Infallible>(registry.respond(&request).await) }
+                        async move { Ok::<_, Infallible>(registry.respond_in_era(&request).await) }
                     });
                     let io = rt::TokioIo::new(stream);
                     let served = http1::Builder::new().serve_connection(io, service).await;
@@ -117,6 +141,18 @@
         Ok(address)
     }
 
+    /// Responds with the era in a header; a response that a restoration overlaps is cut off.
+    async fn respond_in_era(&self, request: &http::Request<hyper::body::Incoming>) -> Response {
+        let started_in = self.era.load(Ordering::SeqCst);
+        let mut response = self.respond(request).await;
+        let era = self.era.load(Ordering::SeqCst);
+        if era != started_in {
+            response = interrupted_response();
+        }
+        response.headers_mut().insert("store-era", era.into());
+        response
+    }
+
     async fn respond(&self, request: &http::Request<hyper::body::Incoming>) -> Response {
         let mut faults = self.fault.subscribe();
         let fault = *faults.borrow_and_update();
--- a/crates/testbed/src/registry/state.rs
+++ b/crates/testbed/src/registry/state.rs
@@ -29,7 +29,7 @@
     }
 }
 
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct Event {
     revision: u64,
     kind: String,
@@ -38,7 +38,7 @@
 }
 
 /// Objects and their history.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct State {
     page_objects: usize,
     revision: u64,
@@ -120,9 +120,10 @@
         })
     }
 
-    /// Returns the changes of a kind since a revision; `None` if they were compacted.
+    /// Returns the changes of a kind since a revision; `None` if they were compacted, or if the store
+    /// does not have that revision.
     pub fn changes(&self, kind: &str, since: u64) -> Option<Value> {
-        if since < self.compacted_revision {
+        if since < self.compacted_revision || since > self.revision {
             return None;
         }
         let newer = self.events.iter();
--- a/tests/all/gateway.rs
+++ b/tests/all/gateway.rs
@@ -533,3 +533,113 @@
     let received = gateway.servers[0].arrivals().len() - before;
     assert!(received <= gateway.daemons.len(), "{received} requests");
 }
+
+/// Routing rules of most tests and one more.
+fn rules_with(prefix: &str) -> Vec<serde_json::Value> {
+    let mut rules = gateway::rules();
+    rules.push(gateway::rule(prefix, "safe", gateway::SERVICE));
+    rules
+}
+
+/// Waits until every daemon serves a route.
+async fn wait_until_in_force(gateway: &Gateway, path: &str) {
+    for daemon in &gateway.daemons {
+        wait::until("new route is in force", || async {
+            let reply = daemon.send("GET", path, "in-force").await;
+            reply.is_ok_and(|reply| reply.status == 200)
+        })
+        .await;
+    }
+}
+
+/// Guards against a configuration that goes back, or stands still, after the store has returned from
+/// an older copy, in which revisions are used again.
+#[tokio::test(flavor = "multi_thread")]
+async fn configuration_does_not_revert_and_goes_on_after_the_store_returns_from_an_older_copy() {
+    let gateway = Gateway::start(3, 2).await;
+    let copy = gateway.registry.copy();
+    let new_rules = rules_with("/new/");
+    let new = gateway::configuration(9, &new_rules);
+    // Revisions that the copy does not have.
+    for number in 0..5 {
+        gateway.registry.put("other", "object", &json!(number));
+    }
+    gateway.registry.put("config", "main", &new);
+    wait_until_in_force(&gateway, "/new/x").await;
+
+    gateway.registry.restore(&copy);
+    tokio::time::sleep(Gateway::PROPAGATION_TIME).await;
+
+    for (number, daemon) in gateway.daemons.iter().enumerate() {
+        let reply = daemon
+            .send("GET", "/new/x", &format!("kept-{number}"))
+            .await;
+        assert_eq!(reply.expect("response").status, 200);
+    }
+    gateway.registry.put("config", "main", &new);
+    let mut newer_rules = new_rules;
+    newer_rules.push(gateway::rule("/newer/", "safe", gateway::SERVICE));
+    let newer = gateway::configuration(12, &newer_rules);
+    gateway.registry.put("config", "main", &newer);
+    wait_until_in_force(&gateway, "/newer/x").await;
+}
+
+/// Guards against work for servers that leave after the store has returned from an older copy, and
+/// for those that had left before.
+#[tokio::test(flavor = "multi_thread")]
+async fn leaving_servers_receive_no_work_after_the_store_returns_from_an_older_copy() {
+    let gateway = Gateway::start(3, 3).await;
+    let copy = gateway.registry.copy();
+    for number in 0..5 {
+        gateway.registry.put("other", "object", &json!(number));
+    }
+    // Its entry has a revision that the store uses again.
+    let id = gateway.servers[1].id();
+    gateway.registry.delete("servers", id);
+    gateway.register(1, "ready");
+    gateway.register(0, "draining");
+    tokio::time::sleep(Gateway::PROPAGATION_TIME).await;
+
+    gateway.registry.restore(&copy);
+    tokio::time::sleep(Gateway::PROPAGATION_TIME).await;
+    gateway.register(1, "draining");
+    tokio::time::sleep(Gateway::PROPAGATION_TIME).await;
+    let before = [0, 1].map(|server| gateway.executions_by(server));
+
+    for number in 0..60 {
+        let daemon = &gateway.daemons[number % 3];
+        let reply = daemon.send("GET", "/read/x", &format!("e{number}")).await;
+        assert_eq!(reply.expect("response").status, 200);
+    }
+
+    assert_eq!([0, 1].map(|server| gateway.executions_by(server)), before);
+    let logs = gateway.daemons.iter().map(|d| d.process.log());
+    let resets = logs.filter(|log| log.contains("returned from an older copy"));
+    assert!(resets.count() > 0);
+}
+
+/// Guards against the loss of servers that an older copy of the store does not have yet.
+#[tokio::test(flavor = "multi_thread")]
+async fn servers_missing_from_an_older_copy_are_used_until_they_register_again() {
+    let gateway = Gateway::start(2, 1).await;
+    gateway.registry.delete("servers", gateway.servers[0].id());
+    let copy = gateway.registry.copy();
+    gateway.register(0, "ready");
+    wait_until_in_force(&gateway, "/read/x").await;
+
+    for drill in 0..2 {
+        gateway.registry.restore(&copy);
+        for number in 0..20 {
+            let daemon = &gateway.daemons[number % 2];
+            let id = format!("missing-{drill}-{number}");
+            let reply = daemon.send("GET", "/read/x", &id).await;
+            assert_eq!(reply.expect("response").status, 200);
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+        gateway.register(0, "ready");
+        tokio::time::sleep(Gateway::PROPAGATION_TIME).await;
+    }
+
+    let reply = gateway.daemons[0].send("GET", "/read/x", "after").await;
+    assert_eq!(reply.expect("response").status, 200);
+}
