Soak: a store that returns from an older copy, leaving and holds in responses

The soak draws restorations of the store from a copy that is up to 4 s old, after which the operator and the servers write again; servers that leave say so in their responses, and those that shed ask to be sent nothing for 0.1 to 3 s.

--- a/crates/testbed/src/soak/fleet.rs
+++ b/crates/testbed/src/soak/fleet.rs
@@ -1,10 +1,12 @@
 //! The system under test: daemons, servers, the store, and the links between them.
 
+use std::collections::BTreeMap;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use serde_json::Value;
 use tokio::net::TcpListener;
 
 use super::{Error, Options, caller, daemon, ledger, operator};
@@ -50,6 +52,8 @@
     servers: Mutex<Vec<Server>>,
     /// Removed servers, whose executions still count.
     removed_servers: Mutex<Vec<Arc<worker::Worker>>>,
+    /// Current registration entries, by server id.
+    entries: Mutex<BTreeMap<String, Value>>,
     next_server_number: AtomicU64,
     check_time_limits: bool,
     /// First three octets of all addresses, from the process id so that concurrent runs seldom
@@ -105,6 +109,7 @@
             ledger: ledger::Ledger::default(),
             servers: Mutex::default(),
             removed_servers: Mutex::default(),
+            entries: Mutex::default(),
             next_server_number: AtomicU64::new(0),
             check_time_limits: options.check_time_limits,
             network,
@@ -161,7 +166,28 @@
     pub fn register(&self, server: &Server, service: &str, state: &str) {
         let address = server.link.address();
         let entry = server.worker.entry(service, site::ZONE, address, state);
-        self.registry.put("servers", server.worker.id(), &entry);
+        self.put_entry(server.worker.id(), entry);
+    }
+
+    fn put_entry(&self, id: &str, entry: Value) {
+        let mut entries = lock(&self.entries);
+        self.registry.put("servers", id, &entry);
+        entries.insert(id.to_owned(), entry);
+    }
+
+    /// Writes the configuration and all registration entries again, and removes the entries of servers
+    /// that are gone.
+    pub fn write_again(&self) {
+        self.operator.write_again();
+        let entries = lock(&self.entries);
+        for (id, entry) in entries.iter() {
+            self.registry.put("servers", id, entry);
+        }
+        for worker in lock(&self.removed_servers).iter() {
+            if !entries.contains_key(worker.id()) {
+                self.registry.delete("servers", worker.id());
+            }
+        }
     }
 
     /// Makes all servers execute requests that they report as not run.
@@ -178,7 +204,10 @@
         let Some(index) = servers.iter().position(is_same) else {
             return;
         };
+        let mut entries = lock(&self.entries);
+        entries.remove(server.worker.id());
         self.registry.delete("servers", server.worker.id());
+        drop(entries);
         lock(&self.removed_servers).push(servers.remove(index).worker);
     }
 
@@ -188,7 +217,7 @@
         let successor = worker::Worker::new(&format!("i-{number:04}"));
         server.worker.replace_with(successor.id());
         let entry = successor.entry("other", site::ZONE, server.link.address(), "ready");
-        self.registry.put("servers", successor.id(), &entry);
+        self.put_entry(successor.id(), entry);
     }
 
     /// Waits until every daemon serves requests.
--- a/crates/testbed/src/soak/operator.rs
+++ b/crates/testbed/src/soak/operator.rs
@@ -6,9 +6,11 @@
 
 use std::collections::BTreeMap;
 use std::net;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
+use serde_json::Value;
+
 use super::{caller, fleet, ledger};
 use crate::{registry, site};
 
@@ -29,6 +31,8 @@
     registry: Arc<registry::Registry>,
     /// Number of the last change, and when it was written.
     last_change: Mutex<(u64, Instant)>,
+    /// The last configuration.
+    configuration: Mutex<Value>,
 }
 
 impl Operator {
@@ -37,6 +41,7 @@
         Self {
             registry,
             last_change: Mutex::new((1, Instant::now())),
+            configuration: Mutex::default(),
         }
     }
 
@@ -56,9 +61,22 @@
         }
         let configuration = site::configuration(number, &rules);
         self.registry.put("config", "main", &configuration);
+        *self.lock_configuration() = configuration;
         *last_change = (number, Instant::now());
     }
 
+    /// Writes the last configuration again.
+    pub fn write_again(&self) {
+        let configuration = self.lock_configuration();
+        self.registry.put("config", "main", &configuration);
+    }
+
+    fn lock_configuration(&self) -> MutexGuard<'_, Value> {
+        self.configuration
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Returns the number of the last change, and when it was written.
     fn last_change(&self) -> (u64, Instant) {
         *self
--- a/crates/testbed/src/soak/trouble.rs
+++ b/crates/testbed/src/soak/trouble.rs
@@ -20,6 +20,15 @@
 /// Time after which a draining server must receive no new work.
 const DRAIN_GRACE: Duration = Duration::from_secs(2);
 
+/// Time for which the store is away before it returns from a copy.
+const STORE_AWAY_TIME: Duration = Duration::from_millis(300);
+
+/// Time until the operator and the servers write again what the copy lacks.
+const REWRITE_DELAY: Duration = Duration::from_secs(1);
+
+/// Bounds of the time for which a server that rejects requests asks to be sent nothing, in seconds.
+const RETRY_AFTER_SECONDS: [f64; 2] = [0.1, 3.0];
+
 /// Minimum number of registered servers; with no more, none is removed or replaced.
 const MIN_SERVERS: usize = 4;
 
@@ -92,6 +101,7 @@
             plan::Kind::StoreBusy => self.apply_store_fault(registry::Fault::Busy).await,
             plan::Kind::StoreSilent => self.apply_store_fault(registry::Fault::Silent).await,
             plan::Kind::StoreForgets => self.fleet.registry.compact(),
+            plan::Kind::StoreReturns => self.restore_store().await,
             plan::Kind::StoreCut | plan::Kind::PeersCut | plan::Kind::PeersLossy => {
                 self.disturb_daemon_links().await;
             }
@@ -127,6 +137,9 @@
                     .choose(&mut self.rng)
                     .copied()
                     .unwrap_or_default();
+                let [min, max] = RETRY_AFTER_SECONDS;
+                let retry_after = self.rng.random_range(min..max);
+                server.worker.set_retry_after(Some(retry_after));
                 server.worker.set_mode(mode);
                 tokio::time::sleep(self.duration).await;
                 server.worker.set_mode(worker::Mode::Well);
@@ -177,6 +190,18 @@
         self.fleet.registry.set_fault(registry::Fault::None);
     }
 
+    /// Restores the store from a copy that is as old as the disturbance is long.
+    async fn restore_store(&self) {
+        let copy = self.fleet.registry.copy();
+        tokio::time::sleep(self.duration).await;
+        self.fleet.registry.set_fault(registry::Fault::Silent);
+        tokio::time::sleep(STORE_AWAY_TIME).await;
+        self.fleet.registry.restore(&copy);
+        self.fleet.registry.set_fault(registry::Fault::None);
+        tokio::time::sleep(REWRITE_DELAY).await;
+        self.fleet.write_again();
+    }
+
     /// Injects a fault into a daemon's link to the store or from its peers.
     async fn disturb_daemon_links(&mut self) {
         let direction = self.choose_direction();
@@ -255,6 +280,7 @@
         self.add_server().await;
         let drain_started_at = Instant::now();
         self.fleet.register(server, site::SERVICE, "draining");
+        server.worker.announce_leaving();
         tokio::time::sleep(DRAIN_TIME).await;
         let since_drain = server
             .worker
