End a server's rate limit only by a success without one

Found when reading the rate limits again: a refusal or a failure without the header ended the limit at all daemons, and the next response announced it again. A server in need sheds and fails, and what answers for it then may not know the limit.

Before: after 503 or 500 without a limit the end was reported to the fleet (rate_limits::only_a_success_without_a_limit_ends_the_limit). After: only a 2xx without a limit ends it.

--- a/crates/proxy/src/exchange.rs
+++ b/crates/proxy/src/exchange.rs
@@ -402,7 +402,11 @@
     name: &http::HeaderName,
 ) {
     let Some(value) = head.headers.get(name) else {
-        attempt.report_rate_limit(None);
+        // A failure or a refusal without a limit may come from a part of the server that does not
+        // know it.
+        if head.status.is_success() {
+            attempt.report_rate_limit(None);
+        }
         return;
     };
     match parse_rate(value) {
--- a/crates/proxy/tests/all/rate_limits.rs
+++ b/crates/proxy/tests/all/rate_limits.rs
@@ -89,3 +89,49 @@
 
     assert!(refused > 0);
 }
+
+/// Limits that are reported after a response with a limit and a later one with this status line and
+/// none, both on one connection.
+async fn reported_after_response_without_limit(status: &str) -> Vec<Option<rate::Rate>> {
+    let text = |status: &str, headers: &str| {
+        let head =
+            format!("HTTP/1.1 {status}\r\nx-request: 1\r\n{headers}content-length: 0\r\n\r\n");
+        Step::Write(head.into_bytes())
+    };
+    let steps = vec![
+        Step::ReadHead,
+        text("200 OK", "x-rate-limit: 50\r\n"),
+        Step::ReadHead,
+        text(status, "x-not-run: 1\r\n"),
+    ];
+    let server = ScriptedServer::start(steps).await;
+    let policies = Arc::new(fakes::Selector);
+    let proxy = fixture::start_host_proxy_with(&[server.address], TIMEOUT, policies).await;
+    for _ in 0..2 {
+        let mut request = fixture::request("GET", "/items/1", "");
+        let headers = request.headers_mut();
+        headers.insert("x-request", "1".parse().unwrap());
+        fixture::send(proxy.address, request).await;
+    }
+    assert_eq!(server.connections(), 1);
+    let reported = proxy.fakes.fleet.rate_limits().into_iter();
+    reported.map(|(_, limit)| limit).collect()
+}
+
+/// Guards against a limit that a failing or refusing server seems to have ended.
+#[tokio::test]
+async fn only_a_success_without_a_limit_ends_the_limit() {
+    let limit = Some(rate::Rate(50.0));
+
+    assert_eq!(
+        reported_after_response_without_limit("200 OK").await,
+        [limit, None]
+    );
+    for status in ["503 Service Unavailable", "500 Internal Server Error"] {
+        assert_eq!(
+            reported_after_response_without_limit(status).await,
+            [limit],
+            "{status}"
+        );
+    }
+}
