Let the strongest daemons of a region watch the platform

Cause: the watcher of a data centre was chosen by rendezvous hashing alone. After the fan-out by capacity that copy was most of what was left: the first daemon had the third table 0.6 s after its first request, the last 0.62 s later.

Change: rollout::watcher selects by capacity, then by rendezvous weight. Regions of equal daemons select as before.

Test first: strong_members_watch_before_weak_ones (a new module, so it failed by not compiling); equal members are ranked as before, and a member that leaves moves only its own part.

--- a/crates/cluster/src/spread/compare.rs
+++ b/crates/cluster/src/spread/compare.rs
@@ -6,7 +6,7 @@
 use futures_util::future;
 use monsooncart_config::object;
 use monsooncart_policy::membership::member;
-use monsooncart_policy::rank;
+use monsooncart_policy::rollout::watcher;
 use monsooncart_wire::configuration;
 use rand::RngExt;
 use rand::seq::IndexedRandom;
@@ -120,7 +120,7 @@
     let local = &shared.local;
     let eligible = members.iter();
     let eligible = eligible.filter(|m| m.region == local.region && m.is_eligible());
-    let mut candidates = rank::top(watch::RANK_KEY, eligible, watch::STALE_WATCHERS);
+    let mut candidates = watcher::select(watch::RANK_KEY, eligible, watch::STALE_WATCHERS);
     let count = candidates.len();
     candidates.retain(|m| m.instance != local.instance);
     if candidates.len() == count {
--- a/crates/cluster/src/spread/watch.rs
+++ b/crates/cluster/src/spread/watch.rs
@@ -60,7 +60,7 @@
             disconnected.len() > MAX_DISCONNECTED || !disconnected.contains(&m.instance);
         m.state == member::State::Alive && is_considered
     };
-    shared::lock(&shared.protocol).is_top_ranked_among(RANK_KEY, count, is_candidate)
+    shared::lock(&shared.protocol).is_watcher(RANK_KEY, count, is_candidate)
 }
 
 /// A removal that takes effect only if the object does not reappear before `due_at`.
--- a/crates/policy/src/membership/protocol.rs
+++ b/crates/policy/src/membership/protocol.rs
@@ -15,6 +15,7 @@
 
 use super::{action, event, member, queue, record, relays, suspicions, table, timings, view};
 use crate::rank;
+use crate::rollout::watcher;
 
 /// Maximum size of a datagram.
 pub const MAX_DATAGRAM_BYTES: usize = 1200;
@@ -130,24 +131,31 @@
     /// Whether this daemon is among the `count` members of its region that rank highest for `key`.
     #[must_use]
     pub fn is_top_ranked(&self, key: &[u8], count: usize) -> bool {
-        self.is_top_ranked_among(key, count, |_| true)
+        let top = rank::top(key, self.eligible_in_region(), count);
+        top.iter().any(|m| m.vm == self.local.member.vm)
     }
 
-    /// Like [`Self::is_top_ranked`], but ranks only this daemon and the members that satisfy
-    /// `is_candidate`.
+    /// Whether this daemon is among the `count` watchers for `key`, which are selected from this
+    /// daemon and the members of its region that satisfy `is_candidate`.
     #[must_use]
-    pub fn is_top_ranked_among(
+    pub fn is_watcher(
         &self,
         key: &[u8],
         count: usize,
         is_candidate: impl Fn(&member::Member) -> bool,
     ) -> bool {
         let local = &self.local.member;
+        let eligible = self.eligible_in_region();
+        let candidates = eligible.filter(|m| m.vm == local.vm || is_candidate(m));
+        let watchers = watcher::select(key, candidates, count);
+        watchers.iter().any(|m| m.vm == local.vm)
+    }
+
+    /// Members of the region that may be assigned responsibilities, including this one.
+    fn eligible_in_region(&self) -> impl Iterator<Item = &member::Member> {
+        let region = &self.local.member.region;
         let members = self.table.members();
-        let peers = members.filter(|m| m.region == local.region && m.is_eligible());
-        let candidates = peers.filter(|m| m.vm == local.vm || is_candidate(m));
-        let top = rank::top(key, candidates, count);
-        top.iter().any(|m| m.vm == self.local.member.vm)
+        members.filter(move |m| m.region == *region && m.is_eligible())
     }
 
     /// Chooses the receivers of the next gossip: some members of the region and, if this daemon is
--- a/crates/policy/src/rollout.rs
+++ b/crates/policy/src/rollout.rs
@@ -7,7 +7,8 @@
 //! the platform is unavailable.
 //!
 //! An object that is too large for one reply is transferred in parts ([`transfer`]), along a tree of
-//! members ([`tree`]) and at a limited rate ([`pacer`]).
+//! members ([`tree`]) and at a limited rate ([`pacer`]). It is read from the platform by a few members
+//! ([`watcher`]).
 
 pub mod digest;
 pub mod entry;
@@ -15,3 +16,4 @@
 pub mod transfer;
 pub mod tree;
 pub mod versions;
+pub mod watcher;
--- a/crates/policy/tests/rollout/main.rs
+++ b/crates/policy/tests/rollout/main.rs
@@ -4,6 +4,7 @@
 mod pacer;
 mod transfer;
 mod tree;
+mod watcher;
 
 use monsooncart_policy::rollout::{entry, versions};
 
