Remember what a server asked for while its entry is gone

Found when reading the rate limits again: a server whose entry expires and returns in the same run was taken for a new one, without its rate limit (its hold was remembered apart). The entry of a server that is cut off from the platform, while requests still reach it, goes and returns so.

Before: eight requests at once to a server that accepts none (the_rate_limit_outlasts_the_removal_...). After: one at most. Servers that were removed from the configuration are kept for a minute, or as long as their hold, and return with what they asked for; the separate map of holds goes. A hold that arrives after the removal counts too.

--- a/crates/policy/src/selector.rs
+++ b/crates/policy/src/selector.rs
@@ -50,6 +50,9 @@
 /// Minimum and maximum retry delay of a refused caller.
 const RETRY_AFTER_BOUNDS: [Duration; 2] = [Duration::from_millis(100), Duration::from_secs(2)];
 
+/// Time for which a server that was removed from the configuration is remembered.
+const DEPARTED_RETENTION: Duration = Duration::from_secs(60);
+
 /// A request that is neither completed nor refused.
 #[derive(Clone, Debug)]
 struct Pending {
@@ -86,16 +89,9 @@
     mean_service_time: Option<Duration>,
     latency_objective: Duration,
     fleet: rate_limit::Fleet,
-    /// Holds of servers, by the run that asked for them, also of servers that are not configured at
-    /// the moment.
-    holds: map::Map<handle::Server, Hold>,
-}
-
-/// Until when a run of a server asked this daemon to send it nothing.
-#[derive(Clone, Copy, Debug)]
-struct Hold {
-    started_millis: u64,
-    until: time::Time,
+    /// Servers that were removed from the configuration, with the time of their removal. What they
+    /// asked for holds if the same run returns.
+    departed: map::Map<handle::Server, (time::Time, server::Server)>,
 }
 
 impl service::Policy for Selector {
@@ -184,26 +180,28 @@
             .map(|server| (server.spec.handle, server))
             .collect();
         for spec in inventory.servers {
-            let known = old.remove(&spec.handle);
+            let departed = self.departed.remove(&spec.handle);
+            let returned = departed.map(|(_, server)| server.returned());
+            let known = old.remove(&spec.handle).or(returned);
             self.servers.push(match known {
                 Some(known) => known.with_spec(now, spec),
-                None => {
-                    let held_until = self.held_until(&spec);
-                    let mut new = server::Server::new(now, spec);
-                    new.hold_until(held_until);
-                    new
-                }
+                None => server::Server::new(now, spec),
             });
         }
+        let departed = old
+            .into_iter()
+            .map(|(handle, server)| (handle, (now, server)));
+        self.departed.extend(departed);
+        self.forget_departed(now);
         let servers = self.servers.iter().enumerate();
         self.indices = servers.map(|(i, s)| (s.spec.handle, i)).collect();
     }
 
-    /// Until when the run of a server is to receive nothing.
-    fn held_until(&self, spec: &inventory::Server) -> time::Time {
-        let hold = self.holds.get(&spec.handle);
-        let hold = hold.filter(|hold| hold.started_millis == spec.started_millis);
-        hold.map_or(time::Time::ZERO, |hold| hold.until)
+    /// Discards servers that departed long ago and are not on hold.
+    fn forget_departed(&mut self, now: time::Time) {
+        self.departed.retain(|_, (departed_at, server)| {
+            now.since(*departed_at) < DEPARTED_RETENTION || server.held_until() > now
+        });
     }
 
     /// Number of daemons that share the traffic, including this one.
@@ -447,7 +445,7 @@
         if !self.poison.is_empty() {
             self.poison.expire(now);
         }
-        self.holds.retain(|_, hold| hold.until > now);
+        self.forget_departed(now);
         let slow_threshold = self.typical_latency().mul_f64(SLOW_RATIO);
         let mut ages = Vec::new();
         for (attempt, in_flight) in &mut self.in_flight {
--- a/crates/policy/src/selector/evidence.rs
+++ b/crates/policy/src/selector/evidence.rs
@@ -4,7 +4,7 @@
 
 use monsooncart_types::{instance, rate, time};
 
-use super::{Completion, Hold, SLOW_RATIO, Selector, in_flight};
+use super::{Completion, SLOW_RATIO, Selector, in_flight};
 use crate::{action, event, handle, outcome, poison};
 
 /// Lowest response status that counts as a failure.
@@ -195,21 +195,8 @@
             return;
         };
         let (server, started_millis) = (in_flight.server, in_flight.started_millis);
-        let until = now + duration;
-        let hold = self.holds.entry(server).or_insert(Hold {
-            started_millis,
-            until,
-        });
-        if hold.started_millis == started_millis {
-            hold.until = until.max(hold.until);
-        } else if hold.started_millis < started_millis {
-            *hold = Hold {
-                started_millis,
-                until,
-            };
-        }
         if let Some(known) = self.server_in_run(server, started_millis) {
-            known.hold_until(until);
+            known.hold_until(now + duration);
         }
     }
 
@@ -226,13 +213,17 @@
         }
     }
 
-    /// The server if the run that started at `started_millis` is its current one.
+    /// The server, configured or departed, if the run that started at `started_millis` is its latest
+    /// one.
     fn server_in_run(
         &mut self,
         server: handle::Server,
         started_millis: u64,
     ) -> Option<&mut super::server::Server> {
-        let known = self.server_mut(server)?;
+        let known = match self.indices.get(&server) {
+            Some(index) => self.servers.get_mut(*index)?,
+            None => &mut self.departed.get_mut(&server)?.1,
+        };
         (known.spec.started_millis == started_millis).then_some(known)
     }
 
--- a/crates/policy/src/selector/server.rs
+++ b/crates/policy/src/selector/server.rs
@@ -166,6 +166,14 @@
         self
     }
 
+    /// Prepares the return of a server that was removed from the configuration. Attempts that were in
+    /// flight then have finished without being counted.
+    pub fn returned(mut self) -> Self {
+        self.in_flight = 0;
+        self.replaced = false;
+        self
+    }
+
     /// Whether the server accepts no new requests.
     pub fn is_unavailable(&self) -> bool {
         self.spec.leaving || self.announced_leaving || self.replaced || self.removed
--- a/crates/policy/tests/selector/hold.rs
+++ b/crates/policy/tests/selector/hold.rs
@@ -86,6 +86,21 @@
     assert!(!is_sent(&mut harness));
 }
 
+#[test]
+fn a_hold_that_arrives_after_the_removal_of_the_server_counts() {
+    let mut harness = fixture::harness(vec![fixture::server(0)]);
+    let sent = fixture::sent_attempts(&harness.arrive(true))[0];
+    harness.handle(fixture::inventory(Vec::new()));
+
+    let attempt = sent.attempt;
+    let duration = HOLD;
+    harness.handle(event::Event::Hold { attempt, duration });
+    harness.finish(attempt, outcome::Outcome::Shed { leaving: false });
+    harness.handle(fixture::inventory(vec![fixture::server(0)]));
+
+    assert!(!is_sent(&mut harness));
+}
+
 #[test]
 fn another_run_of_the_server_is_not_held() {
     let mut harness = fixture::harness(vec![fixture::server(0)]);
--- a/crates/policy/tests/selector/rate_limit.rs
+++ b/crates/policy/tests/selector/rate_limit.rs
@@ -409,3 +409,23 @@
     assert!(refusals > 0, "the first run was not limited");
     assert_eq!(fixture::sent_attempts(&harness.arrive(true)).len(), 1);
 }
+
+/// Guards against a server whose entry expires and returns, and which then receives a burst.
+#[test]
+fn the_rate_limit_outlasts_the_removal_of_the_server_from_the_configuration() {
+    let mut harness = fixture::harness(vec![fixture::server(0)]);
+    harness.handle(event::Event::PeerRateLimit {
+        server: LIMITED,
+        started_millis: 1,
+        limit: Some(rate::Rate(0.0)),
+    });
+
+    harness.handle(fixture::inventory(Vec::new()));
+    harness.advance(5000 * MS);
+    harness.handle(fixture::inventory(vec![fixture::server(0)]));
+
+    let sent: usize = (0..20)
+        .map(|_| fixture::sent_attempts(&harness.arrive(true)).len())
+        .sum();
+    assert!(sent <= 1, "{sent} requests at once");
+}
