--- a/crates/proxy/src/exchange.rs
+++ b/crates/proxy/src/exchange.rs
@@ -14,10 +14,9 @@
 use hyper::body::Incoming;
 use hyper::client::conn::TrySendError;
 use monsooncart_policy::outcome;
-use monsooncart_types::rate;
 use tokio::time::{Instant, timeout_at};
 
-use crate::{attempt, common, gate, header, host_routing, link, payload, server};
+use crate::{announcement, attempt, common, gate, header, host_routing, link, payload, server};
 
 /// Bytes at the beginning of a response that are buffered before it is forwarded, so that a
 /// repeatable request can be retried if the response ends within them.
@@ -158,7 +157,7 @@
     }
     let refusal = parse_refusal(common, &head);
     if refusal.is_none_or(|failure| failure.outcome != outcome::Outcome::Misdirected) {
-        report_announcements(common, call, attempt, &head);
+        announcement::report(common, &call.server, attempt, &head);
     }
     if let Some(failure) = refusal {
         tracker.refused = true;
@@ -364,68 +363,6 @@
     head.status.as_u16() >= 200 && has_required_echo && echoes.all(|echo| echo == correlation_id)
 }
 
-/// Reports what the server announces about itself in the headers of any response.
-fn report_announcements(
-    common: &common::Common,
-    call: &Call,
-    attempt: &attempt::Attempt,
-    head: &http::response::Parts,
-) {
-    let Some(host_headers) = &common.host_headers else {
-        return;
-    };
-    let leaving = head.headers.get(&host_headers.leaving);
-    if leaving.is_some_and(|value| value == "1") {
-        attempt.report_leaving(&call.server);
-    }
-    report_rate_limit(common, call, attempt, head, &host_headers.rate_limit);
-    let is_overloaded = OVERLOADED_STATUSES.contains(&head.status);
-    let retry_after = header::parse_retry_after(&head.headers);
-    if let Some(retry_after) = retry_after.filter(|_| is_overloaded) {
-        attempt.report_hold(retry_after);
-    }
-}
-
-/// Statuses with which a server turns a request away because of its load.
-const OVERLOADED_STATUSES: [http::StatusCode; 2] = [
-    http::StatusCode::SERVICE_UNAVAILABLE,
-    http::StatusCode::TOO_MANY_REQUESTS,
-];
-
-/// Reports the rate limit that the server announces. A malformed one is ignored, so that the limit
-/// that is known remains in force.
-fn report_rate_limit(
-    common: &common::Common,
-    call: &Call,
-    attempt: &attempt::Attempt,
-    head: &http::response::Parts,
-    name: &http::HeaderName,
-) {
-    let Some(value) = head.headers.get(name) else {
-        // A failure or a refusal without a limit may come from a part of the server that does not
-        // know it.
-        if head.status.is_success() {
-            attempt.report_rate_limit(None);
-        }
-        return;
-    };
-    match parse_rate(value) {
-        Some(limit) => attempt.report_rate_limit(Some(limit)),
-        None if common.log_limiter.admits(std::time::Instant::now()) => {
-            let server = &call.server.spec.name;
-            log::warn!(server:%, header:% = name, value:?; "health: ignoring the rate limit of a server; expected a decimal number of requests per second");
-        }
-        None => {}
-    }
-}
-
-/// Parses a decimal number of requests per second.
-fn parse_rate(value: &HeaderValue) -> Option<rate::Rate> {
-    let requests_per_second: f64 = value.to_str().ok()?.trim().parse().ok()?;
-    let is_valid = requests_per_second.is_finite() && requests_per_second >= 0.0;
-    is_valid.then_some(rate::Rate(requests_per_second))
-}
-
 /// Interprets a response as a refusal, if it is one.
 fn parse_refusal(common: &common::Common, head: &http::response::Parts) -> Option<Failure> {
     let Some(host_headers) = &common.host_headers else {
@@ -434,7 +371,7 @@
     if head.status == http::StatusCode::MISDIRECTED_REQUEST {
         return Some(outcome::Outcome::Misdirected.into());
     }
-    let is_overloaded = OVERLOADED_STATUSES.contains(&head.status);
+    let is_overloaded = announcement::OVERLOADED_STATUSES.contains(&head.status);
     if !is_overloaded || !head.headers.contains_key(&host_headers.not_run) {
         return None;
     }
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -22,6 +22,7 @@
 
 mod account;
 mod activity;
+mod announcement;
 mod attempt;
 mod body;
 mod caller;
