Test that a restarted daemon sends no work to a server that is leaving

Operators' failure: a server that had left, in use again after a restart. The store lists the server as ready and only the other daemons know; the restarted one learns it from the retained reports. Passes as it is.

--- a/tests/all/gateway.rs
+++ b/tests/all/gateway.rs
@@ -643,3 +643,36 @@
     let reply = gateway.daemons[0].send("GET", "/read/x", "after").await;
     assert_eq!(reply.expect("response").status, 200);
 }
+
+/// Guards against a server that has left and is in use again at a daemon that was restarted.
+#[tokio::test(flavor = "multi_thread")]
+async fn restarted_daemon_sends_no_work_to_a_server_that_announced_its_leaving_to_others() {
+    let mut gateway = Gateway::start(3, 3).await;
+    gateway.servers[0].announce_leaving();
+    wait::until("it has responded to a request", || async {
+        let before = gateway.executions_by(0);
+        for daemon in &gateway.daemons {
+            let reply = daemon.send("GET", "/read/x", "announced").await;
+            assert_eq!(reply.expect("response").status, 200);
+        }
+        gateway.executions_by(0) > before
+    })
+    .await;
+    tokio::time::sleep(Gateway::PROPAGATION_TIME).await;
+
+    gateway.daemons[2].kill_and_restart();
+    wait::until("the daemon serves again", || async {
+        let reply = gateway.daemons[2].readiness_status().await;
+        reply == Some(200)
+    })
+    .await;
+    tokio::time::sleep(Gateway::PROPAGATION_TIME).await;
+    let before = gateway.executions_by(0);
+    for number in 0..60 {
+        let id = format!("k{number}");
+        let reply = gateway.daemons[2].send("GET", "/read/x", &id);
+        assert_eq!(reply.await.expect("response").status, 200);
+    }
+
+    assert_eq!(gateway.executions_by(0), before);
+}
