Pause a watch after changes, so that one call returns those of 100 ms

Cause: since the strongest daemons watch, a watch call returns sooner and the next one is made sooner, so that a series of changes costs a call for nearly each. Weak watchers had coalesced changes by being slow.

Change: after an answer with changes a watch pauses for 100 ms. The first change of a series is applied as before, the following ones up to 100 ms later.

Test first: a_series_of_changes_takes_few_calls_of_the_platform made 100 calls for 100 changes, 33 allowed; it passes now.

--- a/crates/cluster/src/spread/watch.rs
+++ b/crates/cluster/src/spread/watch.rs
@@ -31,6 +31,10 @@
 /// of them.
 const MAX_INLINE_BYTES: usize = 500;
 
+/// Pause after an answer with changes, so that one call returns all changes of the interval: each call
+/// is priced.
+const CHANGE_INTERVAL: Duration = Duration::from_millis(100);
+
 /// Interval between checks of whether this daemon is selected as a watcher.
 const SELECTION_POLL_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -155,6 +159,9 @@
             self.apply(&page.objects);
             self.apply_deferred_removals();
             since = page.revision.max(since);
+            if !page.objects.is_empty() {
+                tokio::time::sleep(CHANGE_INTERVAL).await;
+            }
         }
         log::info!(prefix = self.prefix, since:% = since; "config: no longer selected as watcher");
         Ok(())
--- a/crates/cluster/tests/engine/dissemination.rs
+++ b/crates/cluster/tests/engine/dissemination.rs
@@ -101,6 +101,36 @@
     calls.load(Ordering::SeqCst)
 }
 
+/// Guards against a call of the platform for each single change of a series.
+#[tokio::test]
+async fn a_series_of_changes_takes_few_calls_of_the_platform() {
+    const CHANGES: usize = 100;
+    /// Changes that a call must cover on average.
+    const CHANGES_PER_CALL: u64 = 3;
+    let platform = Platform::new();
+    let daemons = fleet(1, &platform).await;
+    let first = platform
+        .write(&object::Key::Zones, &platform::zones("attica-a"))
+        .await;
+    wait_until_stored(&daemons, &object::Key::Zones, first).await;
+    let before = platform_calls(&daemons[0]);
+    let start = std::time::Instant::now();
+
+    let mut last = first;
+    for number in 0..CHANGES {
+        let zones = platform::zones(&format!("attica-{number}"));
+        last = platform.write(&object::Key::Zones, &zones).await;
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    wait_until_stored(&daemons, &object::Key::Zones, last).await;
+
+    // On a busy machine the series takes longer, in which more calls are due.
+    let due_calls = u64::try_from(start.elapsed().as_millis()).expect("short") / 100 + 3;
+    let allowed = due_calls.max(CHANGES as u64 / CHANGES_PER_CALL);
+    let calls = platform_calls(&daemons[0]) - before;
+    assert!(calls <= allowed, "{calls} calls, {allowed} allowed");
+}
+
 #[tokio::test]
 async fn a_change_reaches_every_daemon_while_both_watchers_are_disconnected() {
     let platform = Platform::new();
