--- a/crates/proxy/tests/all/endless.rs
+++ b/crates/proxy/tests/all/endless.rs
@@ -3,8 +3,7 @@
 
 use std::time::Duration;
 
-use http::{Request, StatusCode};
-use http_body_util::Full;
+use http::StatusCode;
 
 use crate::fixture;
 use crate::scripted::{ScriptedServer, Step, response};
@@ -15,14 +14,6 @@
 /// Bytes that the kernel's buffers and the proxy's may hold of one connection.
 const MAX_READ_BYTES: u64 = 16 << 20;
 
-fn request(method: &str, path: &str) -> Request<Full<bytes::Bytes>> {
-    let mut request = fixture::request(method, path, "");
-    request
-        .headers_mut()
-        .insert("x-request", "1".parse().unwrap());
-    request
-}
-
 /// Steps that read a request and then write `head`, followed by `rest` again and again.
 fn endless(head: &str, rest: &str) -> Vec<Step> {
     vec![
@@ -48,7 +39,7 @@
         let server = ScriptedServer::start(endless(head, rest)).await;
         let proxy = fixture::start_host_proxy(&[server.address], TIMEOUT).await;
 
-        let answer = fixture::send(proxy.address, request("POST", "/orders/1")).await;
+        let answer = fixture::send(proxy.address, fixture::host_request("POST", "/orders/1")).await;
 
         wait_until_closed(&server).await;
         let unknown = [StatusCode::BAD_GATEWAY, StatusCode::GATEWAY_TIMEOUT];
@@ -64,7 +55,7 @@
     let server = ScriptedServer::start(continues).await;
     let proxy = fixture::start_host_proxy(&[server.address], TIMEOUT).await;
 
-    let answer = fixture::send(proxy.address, request("POST", "/orders/1")).await;
+    let answer = fixture::send(proxy.address, fixture::host_request("POST", "/orders/1")).await;
 
     wait_until_closed(&server).await;
     assert!(answer.status.is_server_error(), "{answer:?}");
@@ -86,7 +77,7 @@
 
     for number in 0..4 {
         let path = format!("/items/{number}");
-        let answer = fixture::send(proxy.address, request("GET", &path)).await;
+        let answer = fixture::send(proxy.address, fixture::host_request("GET", &path)).await;
 
         assert_eq!(answer.status, 200, "{path}");
         assert_eq!(answer.body, "ok");
@@ -109,7 +100,7 @@
         let server = ScriptedServer::start(endless(head, rest)).await;
         let proxy = fixture::start_host_proxy(&[server.address], TIMEOUT).await;
 
-        let sending = fixture::try_send(proxy.address, request("POST", "/orders/1"));
+        let sending = fixture::try_send(proxy.address, fixture::host_request("POST", "/orders/1"));
         let answer = tokio::time::timeout(fixture::TEST_TIMEOUT, sending).await;
 
         let answer = answer.expect("the response ends");
--- a/crates/proxy/tests/all/fixture.rs
+++ b/crates/proxy/tests/all/fixture.rs
@@ -214,6 +214,14 @@
     }
 }
 
+/// A request with host routing, whose id the scripted servers echo.
+pub fn host_request(method: &str, path: &str) -> Request<Full<Bytes>> {
+    let mut request = request(method, path, "");
+    let headers = request.headers_mut();
+    headers.insert("x-request", "1".parse().unwrap());
+    request
+}
+
 /// Starts an engine with host routing. `wires.example` has the repeatable route `/items/` and the
 /// unrepeatable route `/orders/`, both with this timeout.
 pub async fn start_host_proxy(addresses: &[net::SocketAddr], timeout: Duration) -> Proxy {
--- a/crates/proxy/tests/all/holds.rs
+++ b/crates/proxy/tests/all/holds.rs
@@ -3,30 +3,17 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use http::{Request, StatusCode};
-use http_body_util::Full;
+use http::StatusCode;
 
-use crate::scripted::{ScriptedServer, Step};
+use crate::scripted::{ScriptedServer, host_response};
 use crate::{fakes, fixture};
 
 /// Timeout of the routes.
 const TIMEOUT: Duration = Duration::from_secs(30);
 
-fn request() -> Request<Full<bytes::Bytes>> {
-    let mut request = fixture::request("POST", "/orders/1", "");
-    request
-        .headers_mut()
-        .insert("x-request", "1".parse().unwrap());
-    request
-}
-
 /// Starts a server that responds with this status line and these further header lines, and a proxy.
 async fn start(status: &str, headers: &str) -> (ScriptedServer, fixture::Proxy) {
-    let text = format!(
-        "HTTP/1.1 {status}\r\nx-request: 1\r\nconnection: close\r\n{headers}content-length: 0\r\n\r\n"
-    );
-    let steps = vec![Step::ReadHead, Step::Write(text.into_bytes())];
-    let server = ScriptedServer::start(steps).await;
+    let server = ScriptedServer::start(host_response(status, headers)).await;
     let policies = Arc::new(fakes::Selector);
     let proxy = fixture::start_host_proxy_with(&[server.address], TIMEOUT, policies).await;
     (server, proxy)
@@ -50,9 +37,9 @@
         ),
     ] {
         let (server, proxy) = start(status, headers).await;
-        fixture::send(proxy.address, request()).await;
+        fixture::send(proxy.address, fixture::host_request("POST", "/orders/1")).await;
 
-        let second = fixture::send(proxy.address, request()).await;
+        let second = fixture::send(proxy.address, fixture::host_request("POST", "/orders/1")).await;
 
         assert_eq!(second.status, StatusCode::SERVICE_UNAVAILABLE, "{headers}");
         assert_eq!(server.heads(), 1, "{status} {headers}");
@@ -83,9 +70,9 @@
         ),
     ] {
         let (server, proxy) = start(status, headers).await;
-        fixture::send(proxy.address, request()).await;
+        fixture::send(proxy.address, fixture::host_request("POST", "/orders/1")).await;
 
-        let second = fixture::send(proxy.address, request()).await;
+        let second = fixture::send(proxy.address, fixture::host_request("POST", "/orders/1")).await;
 
         let retry_after = second.header("retry-after").parse::<u64>();
         let is_held = server.heads() == 1 && retry_after.is_ok_and(|seconds| seconds > 800);
--- a/crates/proxy/tests/all/leaving.rs
+++ b/crates/proxy/tests/all/leaving.rs
@@ -3,40 +3,21 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use http::Request;
-use http_body_util::Full;
-
-use crate::scripted::{ScriptedServer, Step};
+use crate::scripted::{ScriptedServer, host_response};
 use crate::{fakes, fixture};
 
 /// Timeout of the routes.
 const TIMEOUT: Duration = Duration::from_secs(30);
 
-fn request() -> Request<Full<bytes::Bytes>> {
-    let mut request = fixture::request("POST", "/orders/1", "");
-    request
-        .headers_mut()
-        .insert("x-request", "1".parse().unwrap());
-    request
-}
-
-/// A response with this status line and these further header lines.
-fn response(status: &str, headers: &str) -> Vec<Step> {
-    let text = format!(
-        "HTTP/1.1 {status}\r\nx-request: 1\r\nconnection: close\r\n{headers}content-length: 0\r\n\r\n"
-    );
-    vec![Step::ReadHead, Step::Write(text.into_bytes())]
-}
-
 #[tokio::test]
 async fn server_that_announces_its_leaving_is_reported_once_and_receives_no_further_request() {
     for status in ["200 OK", "500 Internal Server Error"] {
-        let server = ScriptedServer::start(response(status, "x-leaving: 1\r\n")).await;
+        let server = ScriptedServer::start(host_response(status, "x-leaving: 1\r\n")).await;
         let policies = Arc::new(fakes::Selector);
         let proxy = fixture::start_host_proxy_with(&[server.address], TIMEOUT, policies).await;
-        fixture::send(proxy.address, request()).await;
+        fixture::send(proxy.address, fixture::host_request("POST", "/orders/1")).await;
 
-        let second = fixture::send(proxy.address, request()).await;
+        let second = fixture::send(proxy.address, fixture::host_request("POST", "/orders/1")).await;
 
         assert_eq!(second.status, http::StatusCode::SERVICE_UNAVAILABLE);
         assert_eq!(server.heads(), 1, "{status}");
@@ -51,11 +32,11 @@
         ("200 OK", "x-leaving:\r\n"),
         ("421 Misdirected Request", "x-leaving: 1\r\n"),
     ] {
-        let server = ScriptedServer::start(response(status, headers)).await;
+        let server = ScriptedServer::start(host_response(status, headers)).await;
         let policies = Arc::new(fakes::Selector);
         let proxy = fixture::start_host_proxy_with(&[server.address], TIMEOUT, policies).await;
 
-        fixture::send(proxy.address, request()).await;
+        fixture::send(proxy.address, fixture::host_request("POST", "/orders/1")).await;
 
         assert_eq!(proxy.fakes.fleet.leaving(), [], "{status} {headers}");
     }
@@ -64,11 +45,11 @@
 /// Requests that reach the server after a peer has reported that the run with this start is leaving,
 /// under a policy that does not know leaving servers: the request path itself keeps them back.
 async fn requests_after_report_of(started_millis: u64) -> u64 {
-    let server = ScriptedServer::start(response("200 OK", "")).await;
+    let server = ScriptedServer::start(host_response("200 OK", "")).await;
     let proxy = fixture::start_host_proxy(&[server.address], TIMEOUT).await;
     let (service, name) = ("wiredesk".parse().unwrap(), "server-0".parse().unwrap());
     proxy.engine.record_leaving(&service, &name, started_millis);
-    fixture::send(proxy.address, request()).await;
+    fixture::send(proxy.address, fixture::host_request("POST", "/orders/1")).await;
     server.heads()
 }
 
--- a/crates/proxy/tests/all/rate_limits.rs
+++ b/crates/proxy/tests/all/rate_limits.rs
@@ -3,11 +3,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use http::Request;
-use http_body_util::Full;
 use monsooncart_types::{id, rate};
 
-use crate::scripted::{ScriptedServer, Step};
+use crate::scripted::{ScriptedServer, Step, host_response};
 use crate::{fakes, fixture};
 
 /// Timeout of the routes.
@@ -16,28 +14,12 @@
 /// Number of requests in a row, far more than the limit of zero allows in a second.
 const REQUESTS: usize = 8;
 
-fn request() -> Request<Full<bytes::Bytes>> {
-    let mut request = fixture::request("POST", "/orders/1", "");
-    request
-        .headers_mut()
-        .insert("x-request", "1".parse().unwrap());
-    request
-}
-
-/// A response with this status line and these further header lines.
-fn response(status: &str, headers: &str) -> Vec<Step> {
-    let text = format!(
-        "HTTP/1.1 {status}\r\nx-request: 1\r\nconnection: close\r\n{headers}content-length: 0\r\n\r\n"
-    );
-    vec![Step::ReadHead, Step::Write(text.into_bytes())]
-}
-
 /// Limits that the proxy reports to the fleet after one request to a server that responds so.
 async fn reported_limits(status: &str, headers: &str) -> Vec<(id::Server, Option<rate::Rate>)> {
-    let server = ScriptedServer::start(response(status, headers)).await;
+    let server = ScriptedServer::start(host_response(status, headers)).await;
     let policies = Arc::new(fakes::Selector);
     let proxy = fixture::start_host_proxy_with(&[server.address], TIMEOUT, policies).await;
-    fixture::send(proxy.address, request()).await;
+    fixture::send(proxy.address, fixture::host_request("POST", "/orders/1")).await;
     proxy.fakes.fleet.rate_limits()
 }
 
@@ -77,13 +59,13 @@
 
 #[tokio::test]
 async fn server_with_a_rate_limit_of_zero_is_not_sent_every_request() {
-    let server = ScriptedServer::start(response("200 OK", "x-rate-limit: 0\r\n")).await;
+    let server = ScriptedServer::start(host_response("200 OK", "x-rate-limit: 0\r\n")).await;
     let policies = Arc::new(fakes::Selector);
     let proxy = fixture::start_host_proxy_with(&[server.address], TIMEOUT, policies).await;
     let mut refused = 0;
 
     for _ in 0..REQUESTS {
-        let answer = fixture::send(proxy.address, request()).await;
+        let answer = fixture::send(proxy.address, fixture::host_request("POST", "/orders/1")).await;
         refused += usize::from(answer.status == http::StatusCode::SERVICE_UNAVAILABLE);
     }
 
@@ -108,10 +90,7 @@
     let policies = Arc::new(fakes::Selector);
     let proxy = fixture::start_host_proxy_with(&[server.address], TIMEOUT, policies).await;
     for _ in 0..2 {
-        let mut request = fixture::request("GET", "/items/1", "");
-        let headers = request.headers_mut();
-        headers.insert("x-request", "1".parse().unwrap());
-        fixture::send(proxy.address, request).await;
+        fixture::send(proxy.address, fixture::host_request("GET", "/items/1")).await;
     }
     assert_eq!(server.connections(), 1);
     let reported = proxy.fakes.fleet.rate_limits().into_iter();
--- a/crates/proxy/tests/all/scripted.rs
+++ b/crates/proxy/tests/all/scripted.rs
@@ -189,3 +189,12 @@
     let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n", body.len());
     Step::Write([head.as_bytes(), body.as_bytes()].concat())
 }
+
+/// A script that answers one request with host routing with this status, these further header lines
+/// and no body.
+pub fn host_response(status: &str, headers: &str) -> Vec<Step> {
+    let text = format!(
+        "HTTP/1.1 {status}\r\nx-request: 1\r\nconnection: close\r\n{headers}content-length: 0\r\n\r\n"
+    );
+    vec![Step::ReadHead, Step::Write(text.into_bytes())]
+}
