--- a/crates/cluster/src/counters.rs
+++ b/crates/cluster/src/counters.rs
@@ -21,8 +21,8 @@
     pub refused: AtomicU64,
     /// Calls to the platform's object API; each watch counts as one.
     pub platform_calls: AtomicU64,
-    /// Times that the platform's store was found to have returned from an older copy.
-    pub store_resets: AtomicU64,
+    /// Times that the platform's store was found to be restored from a backup.
+    pub store_restores: AtomicU64,
     /// Bytes of parts of the routing served to other daemons.
     pub part_bytes_served: AtomicU64,
     /// Bytes of parts of the routing received from other daemons.
--- a/crates/cluster/src/spread/freshness.rs
+++ b/crates/cluster/src/spread/freshness.rs
@@ -14,18 +14,18 @@
 pub struct Freshness {
     last_answer_at: Mutex<Option<Instant>>,
     disconnected: Mutex<map::Set<instance::Instance>>,
-    /// Latest era of the platform's store; `None` before the first answer.
-    era: Mutex<Option<u64>>,
+    /// Latest epoch of the platform's store; `None` before the first answer.
+    epoch: Mutex<Option<u64>>,
 }
 
-/// How the era of an answer compares with the latest one.
+/// How the epoch of an answer compares with the latest one.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Era {
-    /// The store has returned from an older copy since that answer was sent.
+pub enum Epoch {
+    /// The store was restored from a backup after that answer was sent.
     Earlier,
     /// It is the latest one, or the first answer.
     Current,
-    /// The store has returned from an older copy since the previous answers.
+    /// The store was restored from a backup after the previous answers.
     Later,
 }
 
@@ -83,15 +83,15 @@
             .unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Compares the era of an answer with the latest one, which it replaces if it is later.
-    pub fn observe_era(&self, era: u64) -> Era {
-        let mut latest = self.era.lock().unwrap_or_else(PoisonError::into_inner);
+    /// Compares the epoch of an answer with the latest one, which it replaces if it is later.
+    pub fn observe_epoch(&self, epoch: u64) -> Epoch {
+        let mut latest = self.epoch.lock().unwrap_or_else(PoisonError::into_inner);
         let previous = *latest;
-        *latest = Some(era.max(previous.unwrap_or(era)));
+        *latest = Some(epoch.max(previous.unwrap_or(epoch)));
         match previous {
-            Some(previous) if era < previous => Era::Earlier,
-            Some(previous) if era > previous => Era::Later,
-            _ => Era::Current,
+            Some(previous) if epoch < previous => Epoch::Earlier,
+            Some(previous) if epoch > previous => Epoch::Later,
+            _ => Epoch::Current,
         }
     }
 
--- a/crates/cluster/src/spread/watch.rs
+++ b/crates/cluster/src/spread/watch.rs
@@ -83,8 +83,8 @@
     /// Time of the first answer after the latest failure.
     reconnected_at: Option<Instant>,
     deferred_removals: Vec<DeferredRemoval>,
-    /// Era of the latest answer to this watch.
-    era: Option<u64>,
+    /// Epoch of the latest answer to this watch.
+    epoch: Option<u64>,
 }
 
 impl Watch {
@@ -100,7 +100,7 @@
             failures: 0,
             reconnected_at: None,
             deferred_removals: Vec::new(),
-            era: None,
+            epoch: None,
         }
     }
 
@@ -151,8 +151,8 @@
                 since = self.list().await?;
                 continue;
             }
-            self.check_era(error::Operation::Watch, page.revision)?;
-            if page.revision.era() != since.era() {
+            self.check_epoch(error::Operation::Watch, page.revision)?;
+            if page.revision.epoch() != since.epoch() {
                 since = self.list().await?;
                 continue;
             }
@@ -207,27 +207,31 @@
         }
     }
 
-    /// Compares the era of an answer with those of earlier answers. In a later era, objects may be
+    /// Compares the epoch of an answer with those of earlier answers. In a later epoch, objects may be
     /// missing until their writers have written them again, so their removal is deferred.
     ///
     /// # Errors
     ///
-    /// Fails if the answer is of an earlier era than another one.
-    fn check_era(
+    /// Fails if the answer is of an earlier epoch than another one.
+    fn check_epoch(
         &mut self,
         operation: error::Operation,
         revision: object::Version,
     ) -> Result<(), error::Error> {
-        let era = revision.era();
-        let comparison = self.shared.freshness.observe_era(era);
-        if comparison == freshness::Era::Earlier {
+        let epoch = revision.epoch();
+        let comparison = self.shared.freshness.observe_epoch(epoch);
+        if comparison == freshness::Epoch::Earlier {
             return Err(stale_answer(operation, revision));
         }
-        if comparison == freshness::Era::Later {
-            shared::increment(&self.shared.counters.store_resets);
+        if comparison == freshness::Epoch::Later {
+            shared::increment(&self.shared.counters.store_restores);
         }
-        if self.era.replace(era).is_some_and(|known| known != era) {
-            log::warn!(prefix = self.prefix, era, revision = revision.revision(); "config: platform has returned from an older copy; listing again");
+        if self
+            .epoch
+            .replace(epoch)
+            .is_some_and(|known| known != epoch)
+        {
+            log::warn!(prefix = self.prefix, epoch, revision = revision.revision(); "config: platform was restored from a backup; listing again");
             self.reconnected_at = Some(Instant::now());
         }
         Ok(())
@@ -243,9 +247,9 @@
             let page = self.store.list(self.prefix, &after);
             let timeout = self.shared.timings.list_timeout;
             let page = with_timeout(timeout, error::Operation::List, page).await?;
-            self.check_era(error::Operation::List, page.revision)?;
+            self.check_epoch(error::Operation::List, page.revision)?;
             let first_revision = *revision.get_or_insert(page.revision);
-            if page.revision.era() != first_revision.era() {
+            if page.revision.epoch() != first_revision.epoch() {
                 return Err(stale_answer(error::Operation::List, first_revision));
             }
             objects.extend(page.objects);
@@ -355,12 +359,12 @@
     }
 }
 
-/// The error of an answer from before the platform returned from an older copy.
+/// The error of an answer from before the platform was restored from a backup.
 fn stale_answer(operation: error::Operation, revision: object::Version) -> error::Error {
     error::Error::NotDone {
         operation,
         peer: "platform".to_owned(),
-        reason: format!("answer of the earlier era {}", revision.era()),
+        reason: format!("answer of the earlier epoch {}", revision.epoch()),
     }
 }
 
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -38,9 +38,9 @@
         |core| read_cluster(core, |c| c.platform_calls.load(Ordering::Relaxed)),
     ),
     (
-        "monsooncart_store_resets_total",
-        "Times that the platform's store had returned from an older copy.",
-        |core| read_cluster(core, |c| c.store_resets.load(Ordering::Relaxed)),
+        "monsooncart_store_restores_total",
+        "Times that the platform's store was restored from a backup.",
+        |core| read_cluster(core, |c| c.store_restores.load(Ordering::Relaxed)),
     ),
     (
         "monsooncart_datagrams_sent_total",
--- a/crates/policy/src/balancer.rs
+++ b/crates/policy/src/balancer.rs
@@ -110,7 +110,7 @@
             // the result of the attempt.
             event::Event::RateLimit { .. }
             | event::Event::PeerRateLimit { .. }
-            | event::Event::Hold { .. } => {}
+            | event::Event::RetryAfter { .. } => {}
         }
     }
 
--- a/crates/policy/src/event.rs
+++ b/crates/policy/src/event.rs
@@ -96,12 +96,13 @@
         /// The limit; `None` if the server announces none.
         limit: Option<rate::Rate>,
     },
-    /// A response was received in which the server asks this daemon to send it nothing for a time.
-    Hold {
+    /// A response was received in which the server asks this daemon to send it nothing before a delay
+    /// ends.
+    RetryAfter {
         /// The attempt.
         attempt: handle::Attempt,
-        /// The time, from the receipt of the response.
-        duration: Duration,
+        /// The delay, from the receipt of the response.
+        delay: Duration,
     },
     /// Another daemon reported the rate limit that a server announces.
     PeerRateLimit {
--- a/crates/policy/src/selector.rs
+++ b/crates/policy/src/selector.rs
@@ -51,7 +51,7 @@
 const RETRY_AFTER_BOUNDS: [Duration; 2] = [Duration::from_millis(100), Duration::from_secs(2)];
 
 /// Time for which a server that was removed from the configuration is remembered.
-const DEPARTED_RETENTION: Duration = Duration::from_secs(60);
+const REMOVED_SERVER_RETENTION: Duration = Duration::from_secs(60);
 
 /// A request that is neither completed nor refused.
 #[derive(Clone, Debug)]
@@ -90,8 +90,8 @@
     latency_objective: Duration,
     fleet: rate_limit::Fleet,
     /// Servers that were removed from the configuration, with the time of their removal. What they
-    /// asked for holds if the same run returns.
-    departed: map::Map<handle::Server, (time::Time, server::Server)>,
+    /// asked for stays in force if the same run returns.
+    removed_servers: map::Map<handle::Server, (time::Time, server::Server)>,
 }
 
 impl service::Policy for Selector {
@@ -121,7 +121,9 @@
             event::Event::RateLimit { attempt, limit } => {
                 self.record_rate_limit(now, attempt, limit, actions);
             }
-            event::Event::Hold { attempt, duration } => self.record_hold(now, attempt, duration),
+            event::Event::RetryAfter { attempt, delay } => {
+                self.record_retry_after(now, attempt, delay);
+            }
             event::Event::PeerRateLimit {
                 server,
                 started_millis,
@@ -180,27 +182,27 @@
             .map(|server| (server.spec.handle, server))
             .collect();
         for spec in inventory.servers {
-            let departed = self.departed.remove(&spec.handle);
-            let returned = departed.map(|(_, server)| server.returned());
-            let known = old.remove(&spec.handle).or(returned);
+            let removed = self.removed_servers.remove(&spec.handle);
+            let readded = removed.map(|(_, server)| server.readded());
+            let known = old.remove(&spec.handle).or(readded);
             self.servers.push(match known {
                 Some(known) => known.with_spec(now, spec),
                 None => server::Server::new(now, spec),
             });
         }
-        let departed = old
+        let removed = old
             .into_iter()
             .map(|(handle, server)| (handle, (now, server)));
-        self.departed.extend(departed);
-        self.forget_departed(now);
+        self.removed_servers.extend(removed);
+        self.expire_removed_servers(now);
         let servers = self.servers.iter().enumerate();
         self.indices = servers.map(|(i, s)| (s.spec.handle, i)).collect();
     }
 
-    /// Discards servers that departed long ago and are not on hold.
-    fn forget_departed(&mut self, now: time::Time) {
-        self.departed.retain(|_, (departed_at, server)| {
-            now.since(*departed_at) < DEPARTED_RETENTION || server.held_until() > now
+    /// Discards servers that were removed long ago and whose retry delay has ended.
+    fn expire_removed_servers(&mut self, now: time::Time) {
+        self.removed_servers.retain(|_, (removed_at, server)| {
+            now.since(*removed_at) < REMOVED_SERVER_RETENTION || server.retry_at() > now
         });
     }
 
@@ -249,12 +251,11 @@
         }
     }
 
-    /// Time until a server may receive requests again if all of them asked to be sent nothing; zero if
-    /// one of them did not.
+    /// Time until the first retry delay of a server ends; zero if one of them asked for none.
     fn time_until_available(&self, now: time::Time) -> Duration {
         let servers = self.servers.iter().filter(|s| !s.is_unavailable());
-        let hold = servers.map(|server| server.held_until().since(now)).min();
-        hold.unwrap_or(Duration::ZERO)
+        let delay = servers.map(|server| server.retry_at().since(now)).min();
+        delay.unwrap_or(Duration::ZERO)
     }
 
     /// Reason of a refusal for lack of a server.
@@ -347,7 +348,7 @@
         let retry_after = self
             .typical_latency()
             .mul_f64(RETRY_AFTER_RATIO * (0.5 + jitter));
-        // Before the first hold ends, a retry is refused again.
+        // Before the first retry delay ends, a retry would be refused again.
         let retry_after = retry_after.clamp(min, max) + self.time_until_available(now);
         let refusal = outcome::Refusal {
             reason,
@@ -445,7 +446,7 @@
         if !self.poison.is_empty() {
             self.poison.expire(now);
         }
-        self.forget_departed(now);
+        self.expire_removed_servers(now);
         let slow_threshold = self.typical_latency().mul_f64(SLOW_RATIO);
         let mut ages = Vec::new();
         for (attempt, in_flight) in &mut self.in_flight {
--- a/crates/policy/src/selector/config.rs
+++ b/crates/policy/src/selector/config.rs
@@ -58,7 +58,7 @@
             mean_latency: None,
             mean_service_time: None,
             latency_objective: Duration::from_secs(1),
-            departed: map::Map::default(),
+            removed_servers: map::Map::default(),
             fleet: rate_limit::Fleet {
                 own: self.instance,
                 daemons: Vec::new(),
--- a/crates/policy/src/selector/evidence.rs
+++ b/crates/policy/src/selector/evidence.rs
@@ -184,19 +184,19 @@
         }
     }
 
-    /// Records that the server of an attempt asked to be sent nothing for a time.
-    pub(super) fn record_hold(
+    /// Records the retry delay in the response to an attempt.
+    pub(super) fn record_retry_after(
         &mut self,
         now: time::Time,
         attempt: handle::Attempt,
-        duration: Duration,
+        delay: Duration,
     ) {
         let Some(in_flight) = self.in_flight.get(&attempt) else {
             return;
         };
         let (server, started_millis) = (in_flight.server, in_flight.started_millis);
         if let Some(known) = self.server_in_run(server, started_millis) {
-            known.hold_until(now + duration);
+            known.set_retry_at(now + delay);
         }
     }
 
@@ -213,7 +213,7 @@
         }
     }
 
-    /// The server, configured or departed, if the run that started at `started_millis` is its latest
+    /// The server, configured or removed, if the run that started at `started_millis` is its latest
     /// one.
     fn server_in_run(
         &mut self,
@@ -222,7 +222,7 @@
     ) -> Option<&mut super::server::Server> {
         let known = match self.indices.get(&server) {
             Some(index) => self.servers.get_mut(*index)?,
-            None => &mut self.departed.get_mut(&server)?.1,
+            None => &mut self.removed_servers.get_mut(&server)?.1,
         };
         (known.spec.started_millis == started_millis).then_some(known)
     }
--- a/crates/policy/src/selector/rate_limit.rs
+++ b/crates/policy/src/selector/rate_limit.rs
@@ -27,7 +27,7 @@
 /// Interval between reports of an unchanged limit to the other daemons.
 const REPORT_INTERVAL: Duration = Duration::from_secs(2);
 
-/// The daemons that share the traffic of a service, with their common clock.
+/// The daemons that share the traffic of a service, and the offset of the clock of this one.
 #[derive(Clone, Debug)]
 pub struct Fleet {
     /// This daemon.
@@ -45,7 +45,7 @@
         (unix_time.as_nanos() / INTERVAL.as_nanos()) as u64
     }
 
-    /// Whether this daemon owns a permit.
+    /// Whether this daemon owns the permit with this hash.
     fn owns(&self, permit: u64) -> bool {
         let weight = |daemon: &instance::Instance| rank::mix(permit ^ rank::mix(daemon.0));
         let owner = self.daemons.iter().max_by_key(|d| (weight(d), d.0));
@@ -57,7 +57,7 @@
 #[derive(Clone, Debug)]
 pub struct Limiter {
     /// Distinguishes the permits of different servers.
-    seed: u64,
+    server_hash: u64,
     limit: rate::Rate,
     interval: u64,
     /// Requests that this daemon may send in the interval.
@@ -74,7 +74,7 @@
     #[must_use]
     pub fn new(now: time::Time, server: &id::Server, limit: rate::Rate) -> Self {
         Self {
-            seed: rank::hash(server.as_bytes()),
+            server_hash: rank::hash(server.as_bytes()),
             limit,
             interval: 0,
             permitted: 0,
@@ -132,7 +132,7 @@
         // Fractions of a permit add up over the intervals.
         let permits_before = |interval: u64| (interval as f64 * permits).floor();
         let count = permits_before(self.interval + 1) - permits_before(self.interval);
-        let base = rank::mix(self.seed ^ rank::mix(self.interval));
+        let base = rank::mix(self.server_hash ^ rank::mix(self.interval));
         let owned = (0..count as u64)
             .filter(|number| fleet.owns(rank::mix(base ^ number)))
             .count();
--- a/crates/policy/src/selector/server.rs
+++ b/crates/policy/src/selector/server.rs
@@ -98,8 +98,8 @@
     peer_loads: map::Map<instance::Instance, PeerLoad>,
     /// When the backoff after refusals and failed connections ends.
     backoff_ends_at: time::Time,
-    /// Until when the server asked to be sent nothing.
-    held_until: time::Time,
+    /// Earliest time of the next request, from the retry delay that the server asked for.
+    retry_at: time::Time,
     consecutive_sheds: u32,
     consecutive_unreachable: u32,
     warm_up_ends_at: time::Time,
@@ -133,7 +133,7 @@
             in_flight: 0,
             peer_loads: map::Map::default(),
             backoff_ends_at: time::Time::ZERO,
-            held_until: time::Time::ZERO,
+            retry_at: time::Time::ZERO,
             consecutive_sheds: 0,
             consecutive_unreachable: 0,
             warm_up_ends_at: now + spec.remaining_warm_up,
@@ -168,7 +168,7 @@
 
     /// Prepares the return of a server that was removed from the configuration. Attempts that were in
     /// flight then have finished without being counted.
-    pub fn returned(mut self) -> Self {
+    pub fn readded(mut self) -> Self {
         self.in_flight = 0;
         self.replaced = false;
         self
@@ -216,19 +216,19 @@
         }
     }
 
-    /// Sends the server nothing until then, unless it asked for longer before.
-    pub fn hold_until(&mut self, until: time::Time) {
-        self.held_until = until.max(self.held_until);
+    /// Sends the server nothing before `retry_at`, or an earlier delay ends if that is later.
+    pub fn set_retry_at(&mut self, retry_at: time::Time) {
+        self.retry_at = retry_at.max(self.retry_at);
     }
 
-    /// Until when the server asked to be sent nothing.
-    pub fn held_until(&self) -> time::Time {
-        self.held_until
+    /// Earliest time of the next request, from the retry delay that the server asked for.
+    pub fn retry_at(&self) -> time::Time {
+        self.retry_at
     }
 
-    /// Whether a backoff or a hold is running.
+    /// Whether a backoff or a retry delay is running.
     fn is_waiting(&self, now: time::Time) -> bool {
-        now < self.backoff_ends_at.max(self.held_until)
+        now < self.backoff_ends_at.max(self.retry_at)
     }
 
     /// Whether the rate limit allows no further request from this daemon at the moment.
--- a/crates/policy/tests/selector/hold.rs
+++ b/crates/policy/tests/selector/retry_after.rs
@@ -8,13 +8,13 @@
 
 use crate::fixture::{self, MS};
 
-const HOLD: Duration = Duration::from_secs(5);
+const DELAY: Duration = Duration::from_secs(5);
 
-/// Sends a request to the only server, which responds with a refusal and a hold.
-fn hold(harness: &mut fixture::Harness, duration: Duration) {
+/// Sends a request to the only server, which refuses it with a retry delay.
+fn refuse_with_delay(harness: &mut fixture::Harness, delay: Duration) {
     let sent = fixture::sent_attempts(&harness.arrive(true))[0];
     let attempt = sent.attempt;
-    harness.handle(event::Event::Hold { attempt, duration });
+    harness.handle(event::Event::RetryAfter { attempt, delay });
     harness.finish(attempt, outcome::Outcome::Shed { leaving: false });
 }
 
@@ -24,22 +24,22 @@
 }
 
 #[test]
-fn a_server_receives_nothing_until_its_hold_ends() {
+fn a_server_receives_nothing_before_its_retry_delay_ends() {
     let mut harness = fixture::harness(vec![fixture::server(0)]);
 
-    hold(&mut harness, HOLD);
+    refuse_with_delay(&mut harness, DELAY);
 
-    harness.advance(HOLD - MS);
+    harness.advance(DELAY - MS);
     assert!(!is_sent(&mut harness));
     harness.advance(MS);
     assert!(is_sent(&mut harness));
 }
 
 #[test]
-fn an_earlier_request_that_succeeds_later_does_not_end_the_hold() {
+fn an_earlier_request_that_succeeds_later_does_not_end_the_retry_delay() {
     let mut harness = fixture::harness(vec![fixture::server(0)]);
     let earlier = fixture::sent_attempts(&harness.arrive(true))[0];
-    hold(&mut harness, HOLD);
+    refuse_with_delay(&mut harness, DELAY);
 
     harness.advance(2000 * MS);
     harness.finish(earlier.attempt, outcome::Outcome::Answered(200));
@@ -48,15 +48,14 @@
 }
 
 #[test]
-fn a_shorter_hold_does_not_shorten_the_hold() {
+fn a_shorter_retry_delay_does_not_shorten_the_running_one() {
     let mut harness = fixture::harness(vec![fixture::server(0)]);
     let earlier = fixture::sent_attempts(&harness.arrive(true))[0];
-    hold(&mut harness, HOLD);
+    refuse_with_delay(&mut harness, DELAY);
 
-    let duration = 100 * MS;
-    harness.handle(event::Event::Hold {
+    harness.handle(event::Event::RetryAfter {
         attempt: earlier.attempt,
-        duration,
+        delay: 100 * MS,
     });
     harness.finish(earlier.attempt, outcome::Outcome::Shed { leaving: false });
     harness.advance(2000 * MS);
@@ -65,9 +64,9 @@
 }
 
 #[test]
-fn a_peer_that_is_served_does_not_end_the_hold() {
+fn a_peer_that_is_served_does_not_end_the_retry_delay() {
     let mut harness = fixture::harness(vec![fixture::server(0)]);
-    hold(&mut harness, HOLD);
+    refuse_with_delay(&mut harness, DELAY);
 
     harness.report_evidence(0, 3, 0);
 
@@ -75,9 +74,9 @@
 }
 
 #[test]
-fn the_hold_outlasts_the_removal_of_the_server_from_the_configuration() {
+fn the_retry_delay_outlasts_the_removal_of_the_server_from_the_configuration() {
     let mut harness = fixture::harness(vec![fixture::server(0)]);
-    hold(&mut harness, HOLD);
+    refuse_with_delay(&mut harness, DELAY);
 
     harness.handle(fixture::inventory(Vec::new()));
     harness.handle(event::Event::Tick);
@@ -87,14 +86,14 @@
 }
 
 #[test]
-fn a_hold_that_arrives_after_the_removal_of_the_server_counts() {
+fn a_retry_delay_that_arrives_after_the_removal_of_the_server_counts() {
     let mut harness = fixture::harness(vec![fixture::server(0)]);
     let sent = fixture::sent_attempts(&harness.arrive(true))[0];
     harness.handle(fixture::inventory(Vec::new()));
 
     let attempt = sent.attempt;
-    let duration = HOLD;
-    harness.handle(event::Event::Hold { attempt, duration });
+    let delay = DELAY;
+    harness.handle(event::Event::RetryAfter { attempt, delay });
     harness.finish(attempt, outcome::Outcome::Shed { leaving: false });
     harness.handle(fixture::inventory(vec![fixture::server(0)]));
 
@@ -102,9 +101,9 @@
 }
 
 #[test]
-fn another_run_of_the_server_is_not_held() {
+fn another_run_of_the_server_has_no_retry_delay() {
     let mut harness = fixture::harness(vec![fixture::server(0)]);
-    hold(&mut harness, HOLD);
+    refuse_with_delay(&mut harness, DELAY);
 
     harness.handle(fixture::inventory(vec![inventory::Server {
         started_millis: 2,
@@ -115,32 +114,32 @@
 }
 
 #[test]
-fn a_request_is_refused_at_once_with_the_time_until_the_first_hold_ends() {
+fn a_request_is_refused_at_once_with_the_time_until_the_first_retry_delay_ends() {
     let mut harness = fixture::harness(vec![fixture::server(0)]);
-    hold(&mut harness, HOLD);
+    refuse_with_delay(&mut harness, DELAY);
     harness.advance(1000 * MS);
 
     let refusal = fixture::refusals(&harness.arrive(false))[0];
 
     assert_eq!(refusal.execution, outcome::Execution::NotRun);
-    assert!(refusal.retry_after >= Some(HOLD - 1000 * MS));
+    assert!(refusal.retry_after >= Some(DELAY - 1000 * MS));
 }
 
 #[test]
 fn other_servers_receive_the_requests() {
     let mut harness = fixture::harness((0..3).map(fixture::server).collect());
-    hold(&mut harness, HOLD);
+    refuse_with_delay(&mut harness, DELAY);
 
     assert!(is_sent(&mut harness));
 }
 
-/// Runs random events on three servers; returns an attempt that was sent to a server on hold.
+/// Runs random events on three servers; returns an attempt that was sent before the server's retry delay ended.
 fn find_violation(
     policy: &mut dyn Policy,
     u: &mut arbtest::arbitrary::Unstructured<'_>,
 ) -> arbtest::arbitrary::Result<Option<handle::Attempt>> {
     let mut now = time::Time::from_millis(60_000);
-    let mut held_until = [time::Time::ZERO; 3];
+    let mut retry_at = [time::Time::ZERO; 3];
     let mut in_flight: Vec<(handle::Attempt, usize)> = Vec::new();
     let mut next_request = 0;
     let servers = || (0..3).map(fixture::server).collect();
@@ -163,9 +162,9 @@
                 let index = u.choose_index(in_flight.len())?;
                 let (attempt, server) = in_flight.swap_remove(index);
                 if u.ratio(1, 2)? {
-                    let duration = Duration::from_millis(u.int_in_range(0..=6000)?);
-                    events.push(event::Event::Hold { attempt, duration });
-                    held_until[server] = held_until[server].max(now + duration);
+                    let delay = Duration::from_millis(u.int_in_range(0..=6000)?);
+                    events.push(event::Event::RetryAfter { attempt, delay });
+                    retry_at[server] = retry_at[server].max(now + delay);
                 }
                 let outcomes = [
                     outcome::Outcome::Answered(200),
@@ -205,7 +204,7 @@
             } = action
             {
                 let server = server.0 as usize;
-                if now < held_until[server] {
+                if now < retry_at[server] {
                     return Ok(Some(attempt));
                 }
                 in_flight.push((attempt, server));
@@ -218,7 +217,7 @@
 /// Guards against requests to a server within the time for which it asked to be sent nothing
 /// (BUDGET).
 #[test]
-fn no_order_of_events_sends_a_request_to_a_server_on_hold() {
+fn no_order_of_events_sends_a_request_before_a_retry_delay_ends() {
     arbtest::arbtest(|u| {
         let mut harness = fixture::harness(Vec::new());
         let violation = find_violation(&mut harness.policy, u)?;
@@ -228,7 +227,7 @@
 }
 
 #[test]
-fn a_policy_without_holds_sends_requests_to_a_server_on_hold() {
+fn a_policy_without_retry_delays_sends_requests_before_they_end() {
     let mut found = false;
     for seed in 0..50_u64 {
         let bytes: Vec<u8> = (0..600_u64)
--- a/crates/proxy/src/announcement.rs
+++ b/crates/proxy/src/announcement.rs
@@ -32,7 +32,7 @@
     let is_overloaded = OVERLOADED_STATUSES.contains(&head.status);
     let retry_after = header::parse_retry_after(&head.headers);
     if let Some(retry_after) = retry_after.filter(|_| is_overloaded) {
-        attempt.report_hold(retry_after);
+        attempt.report_retry_after(retry_after);
     }
 }
 
--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -37,11 +37,11 @@
         self.service.report_leaving(server);
     }
 
-    /// Reports that the server asks this daemon to send it nothing for this time.
-    pub fn report_hold(&self, duration: Duration) {
+    /// Reports the retry delay that the server asks this daemon for.
+    pub fn report_retry_after(&self, delay: Duration) {
         let attempt = self.attempt;
         self.service
-            .handle_event(event::Event::Hold { attempt, duration });
+            .handle_event(event::Event::RetryAfter { attempt, delay });
     }
 
     /// Reports the rate limit that the server announces in its response; `None` if it announces none.
--- a/crates/proxy/tests/all/main.rs
+++ b/crates/proxy/tests/all/main.rs
@@ -15,12 +15,13 @@
 mod cancelling;
 mod faults;
 mod forwarding;
-mod holds;
+
 mod leaving;
 mod limits;
 mod not_run;
 mod policy_actions;
 mod rate_limits;
+mod retry_after;
 mod routing;
 mod statuses;
 mod stopping;
--- a/crates/proxy/tests/all/holds.rs
+++ b/crates/proxy/tests/all/retry_after.rs
@@ -49,7 +49,7 @@
 }
 
 #[tokio::test]
-async fn invalid_times_and_other_statuses_hold_nothing_back() {
+async fn invalid_delays_and_other_statuses_delay_nothing() {
     for (status, headers) in [
         (
             "503 Service Unavailable",
@@ -75,7 +75,7 @@
         let second = fixture::send(proxy.address, fixture::host_request("POST", "/orders/1")).await;
 
         let retry_after = second.header("retry-after").parse::<u64>();
-        let is_held = server.heads() == 1 && retry_after.is_ok_and(|seconds| seconds > 800);
-        assert!(!is_held, "{status} {headers}");
+        let is_delayed = server.heads() == 1 && retry_after.is_ok_and(|seconds| seconds > 800);
+        assert!(!is_delayed, "{status} {headers}");
     }
 }
--- a/crates/store/src/object.rs
+++ b/crates/store/src/object.rs
@@ -2,17 +2,17 @@
 
 use bytes::Bytes;
 
-/// Number of low bits of a version that hold the revision; the era is in the rest.
+/// Number of low bits of a version that hold the revision; the epoch is in the rest.
 const REVISION_BITS: u32 = 40;
 
-/// Maximum revision and maximum era.
+/// Maximum revision and maximum epoch.
 const MAX_REVISION: u64 = (1 << REVISION_BITS) - 1;
-const MAX_ERA: u64 = u64::MAX >> REVISION_BITS;
+const MAX_EPOCH: u64 = u64::MAX >> REVISION_BITS;
 
-/// Version of an object: the era of the store and its revision after the object's last write.
+/// Version of an object: the epoch of the store and its revision after the object's last write.
 ///
-/// A store that returns from an older copy starts an era, in which revisions are used again. Versions
-/// of a later era are greater than all of an earlier one.
+/// A store that is restored from a backup starts an epoch, in which revisions are used again. Versions
+/// of a later epoch are greater than all of an earlier one.
 #[derive(
     Clone,
     Copy,
@@ -31,19 +31,19 @@
 pub struct Version(pub u64);
 
 impl Version {
-    /// Creates the version of a revision in an era, which is 0 for stores without eras.
+    /// Creates the version of a revision in an epoch, which is 0 for stores without epochs.
     #[must_use]
-    pub fn new(era: u64, revision: u64) -> Self {
-        Self(era.min(MAX_ERA) << REVISION_BITS | revision.min(MAX_REVISION))
+    pub fn new(epoch: u64, revision: u64) -> Self {
+        Self(epoch.min(MAX_EPOCH) << REVISION_BITS | revision.min(MAX_REVISION))
     }
 
-    /// Era of the store.
+    /// Epoch of the store.
     #[must_use]
-    pub const fn era(self) -> u64 {
+    pub const fn epoch(self) -> u64 {
         self.0 >> REVISION_BITS
     }
 
-    /// Revision within the era.
+    /// Revision within the epoch.
     #[must_use]
     pub const fn revision(self) -> u64 {
         self.0 & MAX_REVISION
--- a/crates/testbed/src/registry.rs
+++ b/crates/testbed/src/registry.rs
@@ -47,13 +47,13 @@
     /// Number of changes; wakes the waiting watches.
     changes: watch::Sender<u64>,
     fault: watch::Sender<Fault>,
-    /// Number of times that it was restored from a copy.
-    era: AtomicU64,
+    /// Number of times that it was restored from a backup.
+    epoch: AtomicU64,
 }
 
-/// A copy of the store's data.
+/// A backup of the store.
 #[derive(Clone, Debug)]
-pub struct Copy(state::State);
+pub struct Backup(state::State);
 
 impl Registry {
     /// Creates an empty store whose lists have pages of `page_objects` objects.
@@ -63,7 +63,7 @@
             state: Mutex::new(state::State::new(page_objects)),
             changes: watch::Sender::new(0),
             fault: watch::Sender::new(Fault::None),
-            era: AtomicU64::new(1),
+            epoch: AtomicU64::new(1),
         })
     }
 
@@ -93,18 +93,18 @@
         self.notify_watches();
     }
 
-    /// Copies the data.
+    /// Makes a backup.
     #[must_use]
-    pub fn copy(&self) -> Copy {
-        Copy(self.state().clone())
+    pub fn back_up(&self) -> Backup {
+        Backup(self.state().clone())
     }
 
-    /// Replaces the data by a copy: what was written since is gone, revisions are used again, and an
-    /// era starts.
-    pub fn restore(&self, copy: &Copy) {
+    /// Replaces the data by a backup: what was written since is gone, revisions are used again, and an
+    /// epoch starts.
+    pub fn restore(&self, backup: &Backup) {
         let mut state = self.state();
-        *state = copy.0.clone();
-        self.era.fetch_add(1, Ordering::SeqCst);
+        *state = backup.0.clone();
+        self.epoch.fetch_add(1, Ordering::SeqCst);
         drop(state);
         self.notify_watches();
     }
@@ -128,7 +128,7 @@
                 tokio::spawn(async move {
                     let service = service::service_fn(|request| {
                         let registry = registry.clone();
-                        async move { Ok::<_, Infallible>(registry.respond_in_era(&request).await) }
+                        async move { Ok::<_, Infallible>(registry.respond_in_epoch(&request).await) }
                     });
                     let io = rt::TokioIo::new(stream);
                     let served = http1::Builder::new().serve_connection(io, service).await;
@@ -141,15 +141,15 @@
         Ok(address)
     }
 
-    /// Responds with the era in a header; a response that a restoration overlaps is cut off.
-    async fn respond_in_era(&self, request: &http::Request<hyper::body::Incoming>) -> Response {
-        let started_in = self.era.load(Ordering::SeqCst);
+    /// Responds with the epoch in a header; a response that a restoration overlaps is cut off.
+    async fn respond_in_epoch(&self, request: &http::Request<hyper::body::Incoming>) -> Response {
+        let started_in = self.epoch.load(Ordering::SeqCst);
         let mut response = self.respond(request).await;
-        let era = self.era.load(Ordering::SeqCst);
-        if era != started_in {
+        let epoch = self.epoch.load(Ordering::SeqCst);
+        if epoch != started_in {
             response = interrupted_response();
         }
-        response.headers_mut().insert("store-era", era.into());
+        response.headers_mut().insert("store-era", epoch.into());
         response
     }
 
--- a/crates/testbed/src/soak/plan.rs
+++ b/crates/testbed/src/soak/plan.rs
@@ -46,8 +46,8 @@
     StoreSilent,
     /// The store compacts its history.
     StoreForgets,
-    /// The store returns from an older copy, and its writers write again.
-    StoreReturns,
+    /// The store is restored from a backup, and its writers write again.
+    StoreRestored,
     /// A daemon is partitioned from the store.
     StoreCut,
     /// One direction between a daemon and its peers is partitioned.
--- a/crates/testbed/src/soak/trouble.rs
+++ b/crates/testbed/src/soak/trouble.rs
@@ -20,10 +20,10 @@
 /// Time after which a draining server must receive no new work.
 const DRAIN_GRACE: Duration = Duration::from_secs(2);
 
-/// Time for which the store is away before it returns from a copy.
+/// Time for which the store is away before it is restored.
 const STORE_AWAY_TIME: Duration = Duration::from_millis(300);
 
-/// Time until the operator and the servers write again what the copy lacks.
+/// Time until the operator and the servers write again what the backup lacks.
 const REWRITE_DELAY: Duration = Duration::from_secs(1);
 
 /// Bounds of the time for which a server that rejects requests asks to be sent nothing, in seconds.
@@ -101,7 +101,7 @@
             plan::Kind::StoreBusy => self.apply_store_fault(registry::Fault::Busy).await,
             plan::Kind::StoreSilent => self.apply_store_fault(registry::Fault::Silent).await,
             plan::Kind::StoreForgets => self.fleet.registry.compact(),
-            plan::Kind::StoreReturns => self.restore_store().await,
+            plan::Kind::StoreRestored => self.restore_store().await,
             plan::Kind::StoreCut | plan::Kind::PeersCut | plan::Kind::PeersLossy => {
                 self.disturb_daemon_links().await;
             }
@@ -190,13 +190,13 @@
         self.fleet.registry.set_fault(registry::Fault::None);
     }
 
-    /// Restores the store from a copy that is as old as the disturbance is long.
+    /// Restores the store from a backup that is as old as the disturbance is long.
     async fn restore_store(&self) {
-        let copy = self.fleet.registry.copy();
+        let backup = self.fleet.registry.back_up();
         tokio::time::sleep(self.duration).await;
         self.fleet.registry.set_fault(registry::Fault::Silent);
         tokio::time::sleep(STORE_AWAY_TIME).await;
-        self.fleet.registry.restore(&copy);
+        self.fleet.registry.restore(&backup);
         self.fleet.registry.set_fault(registry::Fault::None);
         tokio::time::sleep(REWRITE_DELAY).await;
         self.fleet.write_again();
