--- a/crates/proxy/src/service.rs
+++ b/crates/proxy/src/service.rs
@@ -128,8 +128,12 @@
                 .or_insert(new_handle);
             if server_spec.leaving {
                 let started_millis = server_spec.started_millis;
-                self.common
-                    .record_leaving(&server_spec.name, started_millis);
+                if self
+                    .common
+                    .record_leaving(&server_spec.name, started_millis)
+                {
+                    log::info!(service:% = self.name, server:% = server_spec.name; "config: server is leaving");
+                }
             }
             let unchanged = old
                 .servers
@@ -145,6 +149,11 @@
             next.servers.insert(handle, server);
             next.handles.insert(server_spec.name.clone(), handle);
         }
+        for (handle, server) in &old.servers {
+            if !next.servers.contains_key(handle) {
+                log::info!(service:% = self.name, server:% = server.spec.name; "config: server was removed");
+            }
+        }
         self.active_config.store(Arc::new(next));
     }
 
