Log why a connection to a server could not be opened

It is logged at the level info now, within the limit of lines, and counted by cause (refused, timeout, other).

--- a/crates/proxy/src/exchange.rs
+++ b/crates/proxy/src/exchange.rs
@@ -237,18 +237,34 @@
         // The deadline has passed, which is no evidence about the server.
         return Err(outcome::Outcome::Cancelled.into());
     }
-    let connect_deadline = Instant::now() + common.pool.connect_timeout;
+    let started_at = Instant::now();
+    let connect_deadline = started_at + common.pool.connect_timeout;
     let ack_timeout = common.ack_timeout();
     let opening = link::Connection::open(call.server.spec.address, ack_timeout, now);
     common.metrics.server_connections_opened.inc();
-    match timeout_at(connect_deadline.min(call.deadline), opening).await {
-        Ok(Ok(connection)) => Ok(connection),
-        Ok(Err(error)) => {
-            let server = &call.server.spec;
-            log::debug!(server:% = server.name, address:% = server.address, error:%; "pool: could not connect to server");
-            Err(outcome::Outcome::Unsent.into())
-        }
-        Err(_) => Err(outcome::Outcome::Unsent.into()),
+    let error = match timeout_at(connect_deadline.min(call.deadline), opening).await {
+        Ok(Ok(connection)) => return Ok(connection),
+        Ok(Err(error)) => error,
+        Err(_) => io::ErrorKind::TimedOut.into(),
+    };
+    let failures = &common.metrics.server_connections_failed;
+    failures
+        .with_label_values(&[connect_failure_label(&error)])
+        .inc();
+    if common.log_limiter.admits(std::time::Instant::now()) {
+        let server = &call.server.spec;
+        let millis = started_at.elapsed().as_millis();
+        log::info!(server:% = server.name, address:% = server.address, millis, error:%; "pool: could not connect to server");
+    }
+    Err(outcome::Outcome::Unsent.into())
+}
+
+/// Label of a failure to open a connection, in metrics.
+fn connect_failure_label(error: &io::Error) -> &'static str {
+    match error.kind() {
+        io::ErrorKind::ConnectionRefused | io::ErrorKind::ConnectionReset => "refused",
+        io::ErrorKind::TimedOut => "timeout",
+        _ => "other",
     }
 }
 
--- a/crates/proxy/src/metrics.rs
+++ b/crates/proxy/src/metrics.rs
@@ -31,6 +31,8 @@
     /// Connections from callers refused because too many were open.
     pub connections_refused: IntCounter,
     pub server_connections_opened: IntCounter,
+    /// Connections to servers that could not be opened, by cause.
+    pub server_connections_failed: IntCounterVec,
 }
 
 fn register<C: Collector + Clone + 'static>(
@@ -112,6 +114,11 @@
                 "monsooncart_server_connections_opened_total",
                 "Connections that were opened to servers.",
             )?,
+            server_connections_failed: counters(
+                "monsooncart_server_connections_failed_total",
+                "Connections to servers that could not be opened, by cause.",
+                &["cause"],
+            )?,
         })
     }
 
