Open connections to servers from the address of the VM

A daemon left the source address of its connections to servers to the kernel, so that servers and firewalls of a VM with several addresses could see another one than callers do, and tests on loopback could not tell the daemons of a fleet apart. Connections to peers were opened from the address of the listener already.

--- a/crates/daemon/src/components.rs
+++ b/crates/daemon/src/components.rs
@@ -130,7 +130,7 @@
             .claims(Arc::new(claims::ProxyClaims(self.claims.clone())))
             .meter(Arc::new(meter))
             .policies(policies.unwrap_or(default_policies))
-            .pool(protocols.map_or_else(Default::default, |_| gateway::pool_limits()))
+            .pool(protocols.map_or_else(Default::default, |_| gateway::pool_limits(settings)))
             .host_routing(protocols.map(|protocols| protocols.headers.clone()))
             .registry(&self.registry)
             .build()
--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -144,10 +144,13 @@
     }
 }
 
-/// Limits of the connection pools to servers.
+/// Limits of the connection pools to servers. Connections are opened from the address at which the
+/// VM is known, so that servers and firewalls see the same address as callers.
 #[must_use]
-pub fn pool_limits() -> pool::Limits {
+pub fn pool_limits(settings: &settings::Settings) -> pool::Limits {
+    let address = settings.callers.ip();
     pool::Limits {
+        local_address: (!address.is_unspecified()).then_some(address),
         idle_timeout: SERVER_IDLE_TIMEOUT,
         freshness_window: Some(SERVER_FRESHNESS_WINDOW),
         ack_timeout: Some(SERVER_ACK_TIMEOUT),
--- a/crates/proxy/src/exchange.rs
+++ b/crates/proxy/src/exchange.rs
@@ -240,7 +240,12 @@
     let started_at = Instant::now();
     let connect_deadline = started_at + common.pool.connect_timeout;
     let ack_timeout = common.ack_timeout();
-    let opening = link::Connection::open(call.server.spec.address, ack_timeout, now);
+    let opening = link::Connection::open(
+        common.pool.local_address,
+        call.server.spec.address,
+        ack_timeout,
+        now,
+    );
     common.metrics.server_connections_opened.inc();
     let error = match timeout_at(connect_deadline.min(call.deadline), opening).await {
         Ok(Ok(connection)) => return Ok(connection),
--- a/crates/proxy/src/link.rs
+++ b/crates/proxy/src/link.rs
@@ -26,17 +26,18 @@
 }
 
 impl Connection {
-    /// Opens a connection.
+    /// Opens a connection, from the IP address `from` if there is one.
     ///
     /// # Errors
     ///
     /// If the connection cannot be opened. No byte of a request was sent then.
     pub async fn open(
+        from: Option<net::IpAddr>,
         address: net::SocketAddr,
         ack_timeout: Duration,
         now: time::Time,
     ) -> io::Result<Self> {
-        let socket = socket::Socket::open(address, ack_timeout).await?;
+        let socket = socket::Socket::open(from, address, ack_timeout).await?;
         let gate = socket.gate();
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(MAX_BUFFER_BYTES)
--- a/crates/proxy/src/pool.rs
+++ b/crates/proxy/src/pool.rs
@@ -1,5 +1,6 @@
 //! The pool of idle connections to one backend server.
 
+use std::net;
 use std::sync::Mutex;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
@@ -24,6 +25,8 @@
     pub ack_timeout: Option<Duration>,
     /// Maximum time to open a connection.
     pub connect_timeout: Duration,
+    /// Address from which connections are opened; `None` leaves the choice to the kernel.
+    pub local_address: Option<net::IpAddr>,
     /// Maximum time for a health check.
     pub probe_timeout: Duration,
 }
@@ -36,6 +39,7 @@
             freshness_window: None,
             ack_timeout: None,
             connect_timeout: Duration::from_secs(1),
+            local_address: None,
             probe_timeout: Duration::from_secs(1),
         }
     }
--- a/crates/proxy/src/probe.rs
+++ b/crates/proxy/src/probe.rs
@@ -33,7 +33,12 @@
 /// Whether the server accepts a connection.
 pub async fn check_connect(common: &common::Common, server: &server::Server) -> bool {
     let (probe_timeout, now) = (common.pool.probe_timeout, common.clock.now());
-    let opening = link::Connection::open(server.spec.address, probe_timeout, now);
+    let opening = link::Connection::open(
+        common.pool.local_address,
+        server.spec.address,
+        probe_timeout,
+        now,
+    );
     matches!(timeout(probe_timeout, opening).await, Ok(Ok(_)))
 }
 
@@ -48,7 +53,12 @@
     path: &str,
 ) -> Option<Health> {
     let (probe_timeout, now) = (common.pool.probe_timeout, common.clock.now());
-    let opening = link::Connection::open(server.spec.address, probe_timeout, now);
+    let opening = link::Connection::open(
+        common.pool.local_address,
+        server.spec.address,
+        probe_timeout,
+        now,
+    );
     let mut connection = opening.await.ok()?;
     let request = http::Request::get(path)
         .header(http::header::HOST, server.spec.address.to_string())
--- a/crates/proxy/src/socket.rs
+++ b/crates/proxy/src/socket.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
-use tokio::net::TcpStream;
+use tokio::net::{TcpSocket, TcpStream};
 
 use crate::gate;
 use crate::stall;
@@ -43,13 +43,24 @@
 }
 
 impl Socket {
-    /// Opens a connection.
+    /// Opens a connection, from the IP address `from` if there is one.
     ///
     /// # Errors
     ///
     /// If the connection cannot be opened or the kernel rejects an option.
-    pub async fn open(address: net::SocketAddr, ack_timeout: Duration) -> io::Result<Self> {
-        let stream = TcpStream::connect(address).await?;
+    pub async fn open(
+        from: Option<net::IpAddr>,
+        address: net::SocketAddr,
+        ack_timeout: Duration,
+    ) -> io::Result<Self> {
+        let socket = match address {
+            net::SocketAddr::V4(_) => TcpSocket::new_v4()?,
+            net::SocketAddr::V6(_) => TcpSocket::new_v6()?,
+        };
+        if let Some(from) = from.filter(|from| from.is_ipv4() == address.is_ipv4()) {
+            socket.bind(net::SocketAddr::new(from, 0))?;
+        }
+        let stream = socket.connect(address).await?;
         set_options(&stream, ack_timeout)?;
         Ok(Self {
             stream,
--- a/tests/all/gateway.rs
+++ b/tests/all/gateway.rs
@@ -1,6 +1,7 @@
 //! Daemons on the users' platform, where servers register themselves and callers use a directory.
 
 mod announcements;
+
 mod store_epochs;
 
 use std::time::{Duration, Instant};
@@ -44,7 +45,7 @@
         .await
         .expect("response");
     let mut rules = gateway::rules();
-    rules.push(gateway::rule("/new/", "safe", gateway::SERVICE));
+    rules.push(gateway::route("/new/", "safe", gateway::SERVICE));
 
     gateway
         .registry
@@ -255,7 +256,7 @@
     let mut gateway = Gateway::start(2, 1).await;
     let mut rules = gateway::rules();
     for (prefix, route_type) in [("/slow-read/", "safe"), ("/slow-buy/", "unsafe")] {
-        let mut route = gateway::rule(prefix, route_type, gateway::SERVICE);
+        let mut route = gateway::route(prefix, route_type, gateway::SERVICE);
         route["action"]["timeout_s"] = json!(timeout.as_secs());
         rules.push(route);
     }
@@ -425,7 +426,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn error_withheld_for_a_retry_reaches_the_caller_before_its_deadline() {
     let gateway = Gateway::start(1, 2).await;
-    let mut route = gateway::rule("/pull/", "download", gateway::SERVICE);
+    let mut route = gateway::route("/pull/", "download", gateway::SERVICE);
     route["action"] = json!({"backend": gateway::SERVICE, "attempts": 2});
     let mut rules = gateway::rules();
     rules.push(route);
--- a/tests/all/gateway/store_epochs.rs
+++ b/tests/all/gateway/store_epochs.rs
@@ -10,7 +10,7 @@
 /// Routing rules of most tests and one more.
 fn rules_with(prefix: &str) -> Vec<serde_json::Value> {
     let mut rules = gateway::rules();
-    rules.push(gateway::rule(prefix, "safe", gateway::SERVICE));
+    rules.push(gateway::route(prefix, "safe", gateway::SERVICE));
     rules
 }
 
@@ -51,7 +51,7 @@
     }
     gateway.registry.put("config", "main", &new);
     let mut newer_rules = new_rules;
-    newer_rules.push(gateway::rule("/newer/", "safe", gateway::SERVICE));
+    newer_rules.push(gateway::route("/newer/", "safe", gateway::SERVICE));
     let newer = gateway::configuration(12, &newer_rules);
     gateway.registry.put("config", "main", &newer);
     wait_until_in_force(&gateway, "/newer/x").await;
