Open connections between daemons that carry relayed requests

The hello of such a connection has a version of its own, so that a daemon of an earlier build refuses it with the reason; after the welcome it is a byte stream, with TLS where the calls have it. Bodies of any size can be streamed over it, which calls with one frame each cannot, and it takes no place of gossip and calls on their connections. Nothing uses it yet.

--- a/crates/cluster/src/connection.rs
+++ b/crates/cluster/src/connection.rs
@@ -7,13 +7,16 @@
 use futures_util::{SinkExt, StreamExt};
 use monsooncart_types::instance;
 use monsooncart_wire::{datagram, frame, hello, peer};
-use tokio::io::{AsyncRead, AsyncWrite};
+use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
-use crate::{call, config, counters, metered, socket, tls};
+use crate::{call, config, counters, metered, relay, socket, tls};
 
 /// Maximum number of calls in flight on a connection.
 const MAX_IN_FLIGHT: usize = 1024;
 
+/// The frames of a connection.
+type Frames = Framed<Box<dyn relay::Stream>, LengthDelimitedCodec>;
+
 /// Failure to open a connection, before any part of a call was sent.
 #[derive(Clone, Debug, PartialEq, Eq, derive_more::Display, derive_more::Error)]
 #[display("{step} failed: {reason}")]
@@ -40,6 +43,8 @@
 pub(crate) struct Dialler {
     pub(crate) from: net::IpAddr,
     pub(crate) hello: hello::Hello,
+    /// Hello of connections that carry relayed requests.
+    pub(crate) relay_hello: hello::Hello,
     pub(crate) secret: Option<datagram::Secret>,
     pub(crate) tls: Option<tls::Tls>,
     pub(crate) timeout: Duration,
@@ -61,31 +66,61 @@
         })
     }
 
+    /// Opens a connection that carries relayed requests; returns the instance of the other daemon.
+    pub(crate) async fn dial_relay(
+        &self,
+        to: net::SocketAddr,
+        counters: &Arc<counters::Counters>,
+    ) -> Result<(instance::Instance, Box<dyn relay::Stream>), Error> {
+        let stream = self.connect(to, counters).await?;
+        let (instance, frames) =
+            Self::handshake(&self.relay_hello, self.secret.as_ref(), stream).await?;
+        // The other daemon sends nothing before the first request, so that no byte is in the buffer.
+        Ok((instance, Box::new(frames.into_inner())))
+    }
+
     async fn open(
         &self,
         to: net::SocketAddr,
         counters: &Arc<counters::Counters>,
     ) -> Result<Connection, Error> {
+        let stream = self.connect(to, counters).await?;
+        let (instance, frames) = Self::handshake(&self.hello, self.secret.as_ref(), stream).await?;
+        let mut config = tarpc::client::Config::default();
+        config.max_in_flight_requests = MAX_IN_FLIGHT;
+        let transport = frame::transport(frames, peer::check_reply);
+        let client = peer::PeerClient::new(config, transport).spawn();
+        Ok(Connection { client, instance })
+    }
+
+    /// Opens a TCP connection, with TLS if there are keys.
+    async fn connect(
+        &self,
+        to: net::SocketAddr,
+        counters: &Arc<counters::Counters>,
+    ) -> Result<Box<dyn relay::Stream>, Error> {
         let stream = socket::dial(self.from, to).await;
         let stream = stream.map_err(error_at(call::Step::Dial))?;
         let stream = metered::Metered::new(stream, counters.clone());
         let Some(tls) = &self.tls else {
-            return self.handshake(stream).await;
+            return Ok(Box::new(stream));
         };
         let name = tokio_rustls::rustls::pki_types::ServerName::try_from(config::CERTIFICATE_NAME);
         let name = name.map_err(error_at(call::Step::Handshake))?;
         let stream = tls.connector.connect(name, stream).await;
-        self.handshake(stream.map_err(error_at(call::Step::Handshake))?)
-            .await
+        Ok(Box::new(stream.map_err(error_at(call::Step::Handshake))?))
     }
 
-    async fn handshake<S>(&self, stream: S) -> Result<Connection, Error>
-    where
-        S: AsyncRead + AsyncWrite + Unpin + Send + 'static,
-    {
+    /// Sends `hello` and waits for the welcome; returns the instance of the other daemon.
+    async fn handshake(
+        hello: &hello::Hello,
+        secret: Option<&datagram::Secret>,
+        stream: Box<dyn relay::Stream>,
+    ) -> Result<(instance::Instance, Frames), Error> {
         let step = call::Step::Handshake;
+        let own = hello.instance;
         let mut frames = frame::framed(stream);
-        let hello = frame::encode(&self.hello).map_err(error_at(step))?;
+        let hello = frame::encode(hello).map_err(error_at(step))?;
         frames.send(hello).await.map_err(error_at(step))?;
         let answer = frames.next().await;
         let answer = answer.ok_or("connection closed before the answer to the hello");
@@ -93,15 +128,10 @@
         match frame::decode(&answer).map_err(error_at(step))? {
             hello::Answer::Refused(refusal) => Err(error_at(step)(refusal)),
             hello::Answer::Welcome { instance, mac } => {
-                let (own, secret) = (self.hello.instance, self.secret.as_ref());
                 if !hello::is_authentic_welcome(instance, mac, own, secret) {
                     return Err(error_at(step)(hello::Refusal::Secret));
                 }
-                let mut config = tarpc::client::Config::default();
-                config.max_in_flight_requests = MAX_IN_FLIGHT;
-                let transport = frame::transport(frames, peer::check_reply);
-                let client = peer::PeerClient::new(config, transport).spawn();
-                Ok(Connection { client, instance })
+                Ok((instance, frames))
             }
         }
     }
--- a/crates/cluster/src/engine.rs
+++ b/crates/cluster/src/engine.rs
@@ -1,5 +1,6 @@
 //! Entry point of a daemon to its fleet.
 
+use std::io;
 use std::sync::atomic::AtomicBool;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -15,8 +16,8 @@
 use tokio_util::task::TaskTracker;
 
 use crate::{
-    admission, client, config, connection, counters, dissemination, gossip, listener, pool, scope,
-    shared, socket, spread, tls,
+    admission, client, config, connection, counters, dissemination, gossip, listener, pool, relay,
+    scope, shared, socket, spread, tls,
 };
 
 /// Time that the tasks have to stop after their cancellation.
@@ -90,6 +91,12 @@
                 address.ip(),
                 config.secret.as_ref(),
             ),
+            relay_hello: hello::Hello::for_relay(
+                local.vm.clone(),
+                local.instance,
+                address.ip(),
+                config.secret.as_ref(),
+            ),
             secret: config.secret.clone(),
             tls: tls.clone(),
             timeout: config.timings.dial_timeout,
@@ -195,6 +202,27 @@
         self.shared.client(target)
     }
 
+    /// Opens a connection over which the daemon with this process instance relays requests.
+    ///
+    /// # Errors
+    ///
+    /// If the instance is unknown, cannot be reached or does not relay.
+    pub async fn open_relay(
+        &self,
+        instance: instance::Instance,
+    ) -> io::Result<Box<dyn relay::Stream>> {
+        let member = self.shared.member(instance);
+        let member = member.ok_or_else(|| {
+            io::Error::new(io::ErrorKind::NotFound, "instance is not a known member")
+        })?;
+        let (connected, stream) = self.shared.pool.dial_relay(member.peers).await?;
+        if connected != instance {
+            let reason = format!("address belongs to instance {connected}");
+            return Err(io::Error::new(io::ErrorKind::NotFound, reason));
+        }
+        Ok(stream)
+    }
+
     /// Publishes an update. It is not delivered to this daemon's own handler.
     pub fn publish(&self, update: update::Update, scope: scope::Scope) {
         match scope {
--- a/crates/cluster/src/handler.rs
+++ b/crates/cluster/src/handler.rs
@@ -5,6 +5,8 @@
 use monsooncart_types::instance;
 use monsooncart_wire::{claims, floor, update, usage};
 
+use crate::relay;
+
 /// Process instance of the caller, as stated in the connection's hello.
 pub type Peer = instance::Instance;
 
@@ -53,6 +55,12 @@
     /// Answers a request to this daemon as a holder of ejection tokens.
     fn floor(&self, caller: Peer, request: floor::Request) -> BoxFuture<'_, floor::Reply>;
 
+    /// Serves a connection over which another daemon has requests relayed, until it closes. Closes it
+    /// at once unless this daemon relays.
+    fn serve_relay(&self, _caller: Peer, _stream: Box<dyn relay::Stream>) -> BoxFuture<'_, ()> {
+        Box::pin(std::future::ready(()))
+    }
+
     /// Receives an update, once. Must not block. Updates of the configuration and of the platform's
     /// reachability are handled by the engine.
     fn receive_update(&self, update: update::Update);
--- a/crates/cluster/src/lib.rs
+++ b/crates/cluster/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod counters;
 pub mod engine;
 pub mod handler;
+pub mod relay;
 pub mod scope;
 pub mod spread;
 
--- a/crates/cluster/src/listener.rs
+++ b/crates/cluster/src/listener.rs
@@ -13,7 +13,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Semaphore;
 
-use crate::{metered, server, shared, socket};
+use crate::{metered, relay, server, shared, socket};
 
 /// Maximum number of open connections.
 const MAX_CONNECTIONS: usize = 8192;
@@ -79,7 +79,7 @@
     from: net::SocketAddr,
     hello: &hello::Hello,
 ) -> Result<(), hello::Refusal> {
-    if hello.version != hello::VERSION {
+    if ![hello::VERSION, hello::RELAY_VERSION].contains(&hello.version) {
         return Err(hello::Refusal::Version {
             theirs: hello.version,
             ours: hello::VERSION,
@@ -103,7 +103,7 @@
     from: net::SocketAddr,
 ) -> std::io::Result<()>
 where
-    S: AsyncRead + AsyncWrite + Unpin + Send + 'static,
+    S: relay::Stream + 'static,
 {
     let mut frames = frame::framed(stream);
     let first_frame = tokio::time::timeout(HELLO_TIMEOUT, frames.next()).await?;
@@ -121,6 +121,12 @@
     let instance = shared.local.instance;
     let answer = hello::Answer::welcome(instance, hello.instance, shared.secret.as_ref());
     frames.send(frame::encode(&answer)?).await?;
+    if hello.version == hello::RELAY_VERSION {
+        // The dialler sends nothing before the welcome, so that no byte is in the buffer.
+        let stream = Box::new(frames.into_inner());
+        shared.handler.serve_relay(hello.instance, stream).await;
+        return Ok(());
+    }
     serve_calls(shared, frames, hello.instance).await;
     Ok(())
 }
--- a/crates/cluster/src/metered.rs
+++ b/crates/cluster/src/metered.rs
@@ -11,6 +11,7 @@
 use crate::counters;
 
 /// Adds the bytes of a stream, including those of TLS, to an engine's counters.
+#[derive(Debug)]
 pub(crate) struct Metered<S> {
     stream: S,
     counters: Arc<counters::Counters>,
--- a/crates/cluster/src/pool.rs
+++ b/crates/cluster/src/pool.rs
@@ -1,13 +1,14 @@
 //! Pool of connections to peers: one per peer, opened on demand and reopened after a failure.
 
+use std::io;
 use std::net;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
-use monsooncart_types::map;
+use monsooncart_types::{instance, map};
 
-use crate::{connection, counters};
+use crate::{connection, counters, relay};
 
 /// A connection of the pool.
 pub(crate) struct Pooled {
@@ -68,6 +69,15 @@
         Ok(pooled)
     }
 
+    /// Opens a connection that carries relayed requests; it does not belong to the pool.
+    pub(crate) async fn dial_relay(
+        &self,
+        to: net::SocketAddr,
+    ) -> io::Result<(instance::Instance, Box<dyn relay::Stream>)> {
+        let dialled = self.dialler.dial_relay(to, &self.counters).await;
+        dialled.map_err(io::Error::other)
+    }
+
     /// Removes a connection on which a call failed; its calls in flight continue.
     pub(crate) async fn discard(&self, to: net::SocketAddr, failed: &Pooled) {
         let slot = self.slot(to);
--- a/crates/wire/src/hello.rs
+++ b/crates/wire/src/hello.rs
@@ -12,6 +12,10 @@
 /// Protocol version of the calls between daemons.
 pub const VERSION: u16 = 1;
 
+/// Protocol version of a connection that carries relayed requests instead of calls. A daemon that does
+/// not relay refuses it like any version that it does not support.
+pub const RELAY_VERSION: u16 = 2;
+
 /// First frame of the dialling daemon.
 #[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct Hello {
@@ -34,9 +38,30 @@
         from: net::IpAddr,
         secret: Option<&datagram::Secret>,
     ) -> Self {
-        let mac = secret.map(|secret| secret.sign(&hello_payload(&vm, instance, from)));
+        Self::with_version(VERSION, vm, instance, from, secret)
+    }
+
+    /// Creates the hello of a daemon that dials from the address `from` to have requests relayed.
+    #[must_use]
+    pub fn for_relay(
+        vm: id::Vm,
+        instance: instance::Instance,
+        from: net::IpAddr,
+        secret: Option<&datagram::Secret>,
+    ) -> Self {
+        Self::with_version(RELAY_VERSION, vm, instance, from, secret)
+    }
+
+    fn with_version(
+        version: u16,
+        vm: id::Vm,
+        instance: instance::Instance,
+        from: net::IpAddr,
+        secret: Option<&datagram::Secret>,
+    ) -> Self {
+        let mac = secret.map(|secret| secret.sign(&hello_payload(version, &vm, instance, from)));
         Self {
-            version: VERSION,
+            version,
             vm,
             instance,
             mac,
@@ -50,14 +75,19 @@
         let Some(secret) = secret else {
             return true;
         };
-        let payload = hello_payload(&self.vm, self.instance, from);
+        let payload = hello_payload(self.version, &self.vm, self.instance, from);
         self.mac.is_some_and(|mac| secret.verifies(&payload, &mac))
     }
 }
 
 /// Authenticated bytes of a `Hello`; the address prevents a replay from another address.
-fn hello_payload(vm: &id::Vm, instance: instance::Instance, from: net::IpAddr) -> Vec<u8> {
-    format!("hello {VERSION} {vm} {instance} {}", from.to_canonical()).into_bytes()
+fn hello_payload(
+    version: u16,
+    vm: &id::Vm,
+    instance: instance::Instance,
+    from: net::IpAddr,
+) -> Vec<u8> {
+    format!("hello {version} {vm} {instance} {}", from.to_canonical()).into_bytes()
 }
 
 /// Authenticated bytes of a welcome.
