--- a/benches/policy.rs
+++ b/benches/policy.rs
@@ -30,6 +30,7 @@
         floor_slots: 0,
         sensitivity: health::Sensitivity::Balanced,
         daemons: (0..36).map(monsooncart_types::instance::Instance).collect(),
+        relays: Vec::new(),
         unix_origin: Duration::ZERO,
         latency_objective: Duration::from_millis(200),
     }
@@ -74,6 +75,7 @@
             expected_response_bytes: 0,
             deadline: self.now + Duration::from_secs(5),
             fingerprint: Some(handle::Fingerprint(self.requests)),
+            relayed: false,
         }));
         match self.actions.first() {
             Some(action::Action::Send { attempt, .. }) => Some(*attempt),
--- a/crates/daemon/src/core.rs
+++ b/crates/daemon/src/core.rs
@@ -24,6 +24,8 @@
     pub entries: entries::Directory,
     /// Entry sets by data centre; used instead of those by service in gateway deployments.
     pub gateway_entries: Option<gateway::entries::Entries>,
+    /// Lost paths to servers; `None` unless this is a gateway deployment.
+    pub gateway_paths: Option<gateway::paths::Paths>,
     /// Notified when there is evidence that has not been sent to other daemons.
     pub evidence_ready: Notify,
     started_at: Instant,
@@ -35,13 +37,18 @@
     /// Creates the shared state, without proxy and cluster engine.
     #[must_use]
     pub fn new(settings: settings::Settings) -> Self {
+        let instance = instance::Instance(rand::random());
         Self {
-            instance: instance::Instance(rand::random()),
+            instance,
             entries: entries::Directory::new(settings.entry_count as usize),
             gateway_entries: settings
                 .gateway
                 .is_some()
                 .then(|| gateway::entries::Entries::new(settings.entry_count as usize)),
+            gateway_paths: settings
+                .gateway
+                .is_some()
+                .then(|| gateway::paths::Paths::new(instance)),
             evidence_ready: Notify::new(),
             settings,
             started_at: Instant::now(),
--- a/crates/daemon/src/engine.rs
+++ b/crates/daemon/src/engine.rs
@@ -151,6 +151,9 @@
         if core.gateway_entries.is_some() {
             let send = move || gateway::evidence::send(state.clone());
             self.spawn_restarting("evidence sender", send);
+            let state = core.clone();
+            let renew = move || gateway::paths::renew(state.clone());
+            self.spawn_restarting("path reports", renew);
             return;
         }
         self.spawn_restarting("evidence publisher", move || {
--- a/crates/daemon/src/fleet.rs
+++ b/crates/daemon/src/fleet.rs
@@ -1,13 +1,16 @@
 //! The proxy's interface to the rest of the fleet.
 
+use std::io;
 use std::sync::Arc;
 use std::time::{Duration, SystemTime};
 
+use futures_util::FutureExt as _;
+use futures_util::future::BoxFuture;
 use monsooncart_cluster::scope;
 use monsooncart_policy::floor::{event, mark};
-use monsooncart_policy::handle;
 use monsooncart_policy::membership::member;
-use monsooncart_proxy::interface;
+use monsooncart_policy::{handle, inventory};
+use monsooncart_proxy::{interface, relay as proxy_relay};
 use monsooncart_types::{id, instance, rate};
 use monsooncart_wire::update;
 
@@ -171,6 +174,48 @@
         self.core.evidence_ready.notify_one();
     }
 
+    fn relays(&self, service: &id::Service) -> Vec<inventory::Relay> {
+        let core = &self.core;
+        let (Some(entries), Some(paths)) = (&core.gateway_entries, &core.gateway_paths) else {
+            return Vec::new();
+        };
+        let members = entries.all().into_iter();
+        let has_path =
+            |m: &member::Member| m.instance != core.instance && !paths.is_lost(m.instance, service);
+        let relays = members.filter(has_path).map(|m| inventory::Relay {
+            peer: m.instance,
+            local: m.data_centre == core.settings.data_centre,
+            capacity: m.capacity,
+        });
+        let mut relays: Vec<_> = relays.collect();
+        relays.sort_unstable_by_key(|relay| relay.peer);
+        relays
+    }
+
+    fn vm(&self, daemon: instance::Instance) -> Option<id::Vm> {
+        let member = self.core.cluster()?.member(daemon);
+        member.map(|member| member.vm)
+    }
+
+    fn open_relay(
+        &self,
+        daemon: instance::Instance,
+    ) -> BoxFuture<'_, io::Result<Box<dyn proxy_relay::Stream>>> {
+        async move {
+            let cluster = self.core.cluster();
+            let cluster = cluster.ok_or(io::ErrorKind::NotConnected)?;
+            let stream = cluster.open_relay(daemon).await?;
+            Ok(Box::new(stream) as Box<dyn proxy_relay::Stream>)
+        }
+        .boxed()
+    }
+
+    fn report_path(&self, service: &id::Service, lost: bool) {
+        if let Some(paths) = &self.core.gateway_paths {
+            self.publish(paths.record_own(service, lost));
+        }
+    }
+
     fn daemons(&self, service: &id::Service) -> Vec<instance::Instance> {
         if let Some(entries) = &self.core.gateway_entries {
             return entries.instances();
--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -13,6 +13,7 @@
 pub mod endpoints;
 pub mod entries;
 pub mod evidence;
+pub mod paths;
 
 use std::net;
 use std::sync::Arc;
--- a/crates/daemon/src/gateway/entries.rs
+++ b/crates/daemon/src/gateway/entries.rs
@@ -4,7 +4,7 @@
 //! centre's servers concentrate there. Callers choose among them evenly, so the capacity of a set
 //! is its size times the capacity of its weakest daemon. Daemons are ordered by descending capacity
 //! and, at equal capacity, by rendezvous hashing. A daemon that misses probes is left out at once,
-//! unless no daemon would be left.
+//! unless no daemon would be left; so is one that has lost its path to servers.
 
 use std::sync::Arc;
 
@@ -38,12 +38,19 @@
         }
     }
 
-    /// Applies the membership; returns whether a set changed.
+    /// Applies the membership and the daemons that have lost their path to servers; returns whether a
+    /// set changed. A data centre has no set while all its daemons have lost theirs and daemons of
+    /// others have not.
     ///
     /// Must not be called concurrently.
-    pub fn update(&self, members: &[member::Member]) -> bool {
+    pub fn update(&self, members: &[member::Member], lost: &map::Set<instance::Instance>) -> bool {
+        let has_path = |m: &member::Member| !lost.contains(&m.instance);
+        let is_any_with_path = members
+            .iter()
+            .any(|m| m.is_eligible() && m.state == member::State::Alive && has_path(m));
         let mut data_centres: map::Map<_, Vec<&member::Member>> = map::Map::default();
-        for member in members.iter().filter(|m| m.is_eligible()) {
+        let members = members.iter().filter(|m| m.is_eligible());
+        for member in members.filter(|m| !is_any_with_path || has_path(m)) {
             let of_data_centre = data_centres.entry(member.data_centre.clone()).or_default();
             of_data_centre.push(member);
         }
--- a/crates/daemon/src/rpc.rs
+++ b/crates/daemon/src/rpc.rs
@@ -5,7 +5,7 @@
 
 use futures_util::FutureExt as _;
 use futures_util::future::BoxFuture;
-use monsooncart_cluster::handler;
+use monsooncart_cluster::{handler, relay};
 use monsooncart_policy::claims::{claim, handover as claims_handover, table};
 use monsooncart_policy::floor::{event, storage};
 use monsooncart_types::id;
@@ -143,6 +143,24 @@
         .boxed()
     }
 
+    fn serve_relay(
+        &self,
+        _peer: handler::Peer,
+        stream: Box<dyn relay::Stream>,
+    ) -> BoxFuture<'_, ()> {
+        async move {
+            // Only host routing has requests relayed.
+            let proxy = self
+                .core
+                .proxy()
+                .filter(|_| self.core.gateway_paths.is_some());
+            if let Some(proxy) = proxy {
+                proxy.serve_relay(stream).await;
+            }
+        }
+        .boxed()
+    }
+
     fn receive_update(&self, update: update::Update) {
         match update {
             update::Update::Evidence {
@@ -200,6 +218,20 @@
             update::Update::Succession(succession) => {
                 let _is_new = self.claims.record_succession(succession);
             }
+            update::Update::Path {
+                service,
+                from,
+                number,
+                lost,
+            } => {
+                if let Some(paths) = &self.core.gateway_paths {
+                    let service_name = service.clone();
+                    paths.record(self.core.now(), from, service_name, number, lost);
+                }
+                if let Some(proxy) = self.core.proxy().filter(|_| lost) {
+                    proxy.check_path(&service);
+                }
+            }
             update::Update::Configuration { .. } | update::Update::Platform { .. } => {}
         }
     }
--- a/crates/daemon/src/updates.rs
+++ b/crates/daemon/src/updates.rs
@@ -4,7 +4,9 @@
 
 use monsooncart_config::{object, service, snapshot};
 use monsooncart_types::{id, map};
+use tokio::sync::watch;
 
+use crate::gateway::paths;
 use crate::{core, floors};
 
 /// Applies each new configuration to the proxy and the ejection ledgers, and updates the entry sets
@@ -15,6 +17,8 @@
     };
     let mut configurations = cluster.replica().changes();
     let mut memberships = cluster.changes();
+    let mut paths = core.gateway_paths.as_ref().map(paths::Paths::changes);
+    let mut paths_changed = false;
     let mut sent_versions = map::Map::<id::Service, u64>::default();
     loop {
         let snapshot = cluster.replica().snapshot();
@@ -22,7 +26,8 @@
         let changed_sets = match &core.gateway_entries {
             Some(entries) => {
                 let services = snapshot.services().map(|s| s.name.clone());
-                let has_changed = entries.update(&members);
+                let lost = core.gateway_paths.as_ref().map(paths::Paths::lost_daemons);
+                let has_changed = entries.update(&members, &lost.unwrap_or_default());
                 services.filter(|_| has_changed).collect()
             }
             None => core.entries.update(&snapshot, &members),
@@ -38,10 +43,12 @@
                 send_holders(&core, floors, service);
             }
         }
-        if !changed_sets.is_empty() {
+        if !changed_sets.is_empty() || paths_changed {
             proxy.refresh_daemons();
         }
+        paths_changed = false;
         tokio::select! {
+            () = wait_for_change(&mut paths) => paths_changed = true,
             changed = configurations.changed() => if changed.is_err() {
                 return;
             },
@@ -52,6 +59,17 @@
     }
 }
 
+/// Waits for a change of the lost paths; forever if there are none to follow.
+async fn wait_for_change(paths: &mut Option<watch::Receiver<u64>>) {
+    let changed = match paths {
+        Some(paths) => paths.changed().await,
+        None => std::future::pending().await,
+    };
+    if changed.is_err() {
+        std::future::pending::<()>().await;
+    }
+}
+
 /// Services whose version differs from the last one sent; records the new versions as sent.
 fn take_changed_services(
     snapshot: &snapshot::Snapshot,
--- a/crates/policy/src/action.rs
+++ b/crates/policy/src/action.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use monsooncart_types::{rate, time};
+use monsooncart_types::{instance, rate, time};
 
 use crate::{handle, outcome};
 
@@ -51,6 +51,17 @@
         /// State of the server that the selection was based on.
         grounds: Grounds,
     },
+    /// Has another daemon forward a request to a server.
+    Relay {
+        /// The request.
+        request: handle::Request,
+        /// Handle of the new attempt.
+        attempt: handle::Attempt,
+        /// The other daemon.
+        peer: instance::Instance,
+        /// Maximum number of servers that it may send the request to.
+        max_attempts: u32,
+    },
     /// Sends the caller a final response that the fleet generates itself.
     Refuse {
         /// The request.
@@ -89,6 +100,15 @@
     },
     /// Sends a health probe to a server.
     Probe(handle::Server),
+    /// Checks on a new connection whether a server responds at all.
+    ProbePath(handle::Server),
+    /// Reports to operators and to the fleet that the path to the servers is lost, or is there again.
+    ReportPath {
+        /// Whether it is lost.
+        lost: bool,
+        /// The evidence, as text for operators.
+        evidence: String,
+    },
     /// Closes the connections to a server that were opened before a given time.
     CloseConnections {
         /// The server.
--- a/crates/policy/src/balancer.rs
+++ b/crates/policy/src/balancer.rs
@@ -111,6 +111,10 @@
             event::Event::RateLimit { .. }
             | event::Event::PeerRateLimit { .. }
             | event::Event::RetryAfter { .. } => {}
+            // This policy has no belief about the path apart from the servers.
+            event::Event::Responded { .. }
+            | event::Event::PathProbe { .. }
+            | event::Event::PeerPathLost => {}
         }
     }
 
--- a/crates/policy/src/event.rs
+++ b/crates/policy/src/event.rs
@@ -29,6 +29,8 @@
     pub deadline: time::Time,
     /// Identifies repeats of the request; `None` if its body is not known in advance.
     pub fingerprint: Option<handle::Fingerprint>,
+    /// Whether another daemon relays the request; it is not relayed again.
+    pub relayed: bool,
 }
 
 /// Summary of one daemon's evidence about one server over the last interval.
@@ -76,6 +78,22 @@
         /// Status of the response.
         status: u16,
     },
+    /// A server responded to an attempt in any way, with a refusal too.
+    Responded {
+        /// The attempt.
+        attempt: handle::Attempt,
+        /// Time at which the connection of the attempt was opened.
+        connected_at: time::Time,
+    },
+    /// A probe of the path to a server finished.
+    PathProbe {
+        /// The server.
+        server: handle::Server,
+        /// Time at which the probe opened its connection; `None` if the server did not respond.
+        connected_at: Option<time::Time>,
+    },
+    /// Another daemon has lost its path to the servers; this one may have lost its own unnoticed.
+    PeerPathLost,
     /// An attempt finished.
     Finish {
         /// The attempt.
--- a/crates/policy/src/inventory.rs
+++ b/crates/policy/src/inventory.rs
@@ -25,6 +25,17 @@
     pub started_millis: u64,
 }
 
+/// Another daemon that can forward this daemon's requests to the servers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Relay {
+    /// The daemon.
+    pub peer: instance::Instance,
+    /// Whether it is in this daemon's data centre.
+    pub local: bool,
+    /// Capacity in thousandths of a core.
+    pub capacity: u32,
+}
+
 /// A service.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Inventory {
@@ -36,6 +47,8 @@
     pub sensitivity: health::Sensitivity,
     /// Daemons that share this service's traffic.
     pub daemons: Vec<instance::Instance>,
+    /// Daemons that can forward requests while this daemon has no path to the servers.
+    pub relays: Vec<Relay>,
     /// Time from the Unix epoch to the origin of the policy's clock.
     pub unix_origin: Duration,
     /// Objective of the service for the time to the response head.
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod membership;
 pub mod naive;
 pub mod outcome;
+pub mod path;
 pub mod poison;
 pub mod queue;
 pub mod rank;
--- /dev/null
+++ b/crates/policy/src/path.rs
@@ -0,0 +1,118 @@
+//! This daemon's network path to the servers of a service, as a thing apart from the servers.
+//!
+//! An attempt that ends without any response from the server may be the fault of the server or of
+//! the daemon's own path to it. One such failure alone does not tell which. Failures at several
+//! servers with no response from any in between are taken for a lost path; a response on a
+//! connection that was opened after a failure shows that the path is there, and so that the failure
+//! was the server's.
+
+use std::time::Duration;
+
+use monsooncart_types::time;
+
+use crate::handle;
+
+/// Number of servers that must have failed for the path to be taken for lost; fewer if the service
+/// has fewer.
+const MIN_SUSPECTS: usize = 2;
+
+/// Age at which a failure no longer counts for a lost path.
+const FAILURE_LIFETIME: Duration = Duration::from_secs(5);
+
+/// Interval between probes while the path is lost or no server responds.
+const PROBE_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Number of servers probed at once, so that one server that is down does not decide.
+pub const PROBED_SERVERS: usize = 2;
+
+/// A failure that may be the server's or the path's.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Failure {
+    /// Server of the failed attempt.
+    pub server: handle::Server,
+    /// Time at which the attempt failed.
+    pub failed_at: time::Time,
+    /// Whether the failure is withheld from the evidence about the server until the path is known
+    /// to be there.
+    pub withheld: bool,
+}
+
+/// Belief about the path to the servers of one service.
+#[derive(Clone, Debug, Default)]
+pub struct Path {
+    /// Failures since the last response, at most one for each server.
+    failures: Vec<Failure>,
+    lost_since: Option<time::Time>,
+    probed_at: Option<time::Time>,
+}
+
+impl Path {
+    /// Whether the path is taken for lost.
+    #[must_use]
+    pub fn is_lost(&self) -> bool {
+        self.lost_since.is_some()
+    }
+
+    /// Time at which the path was taken for lost, if it is.
+    #[must_use]
+    pub fn lost_since(&self) -> Option<time::Time> {
+        self.lost_since
+    }
+
+    /// Whether a server other than `server` failed and none has responded since.
+    #[must_use]
+    pub fn is_doubted_beside(&self, server: handle::Server) -> bool {
+        self.is_lost() || self.failures.iter().any(|f| f.server != server)
+    }
+
+    /// Records an attempt that ended without any response; `server_count` servers could have been
+    /// sent to. Returns whether the path is lost from now on.
+    pub fn record_failure(&mut self, failure: Failure, server_count: usize) -> bool {
+        let now = failure.failed_at;
+        self.failures
+            .retain(|f| f.server != failure.server && now.since(f.failed_at) < FAILURE_LIFETIME);
+        self.failures.push(failure);
+        let is_lost = self.failures.len() >= MIN_SUSPECTS.min(server_count.max(1));
+        if !is_lost || self.is_lost() {
+            return false;
+        }
+        self.lost_since = Some(now);
+        self.probed_at = None;
+        true
+    }
+
+    /// Records a response on a connection that was opened at `opened_at`. Returns the failures before
+    /// that, which were the servers', and whether the path was lost.
+    pub fn record_response(&mut self, opened_at: time::Time) -> (Vec<Failure>, bool) {
+        let is_proof = |f: &mut Failure| f.failed_at <= opened_at;
+        let servers_fault: Vec<_> = self.failures.extract_if(.., is_proof).collect();
+        let was_lost = self.lost_since.is_some_and(|since| since <= opened_at);
+        if was_lost {
+            self.lost_since = None;
+        }
+        (servers_fault, was_lost)
+    }
+
+    /// Whether to probe servers now; `silent` if attempts wait with no response from any server.
+    pub fn take_probe(&mut self, now: time::Time, silent: bool) -> bool {
+        let is_due = self
+            .probed_at
+            .is_none_or(|probed_at| now.since(probed_at) >= PROBE_INTERVAL);
+        if !is_due || !(silent || self.is_lost()) {
+            return false;
+        }
+        self.probed_at = Some(now);
+        true
+    }
+}
+
+/// The evidence, as text for operators.
+impl std::fmt::Display for Path {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        let count = self.failures.len();
+        write!(
+            f,
+            "{count} servers failed without a response from any in between"
+        )
+    }
+}
--- a/crates/policy/src/selector.rs
+++ b/crates/policy/src/selector.rs
@@ -18,17 +18,19 @@
 mod cost;
 mod evidence;
 mod in_flight;
+mod path_loss;
 pub mod rate_limit;
+mod relay;
 pub mod report;
 mod server;
 
 use std::time::Duration;
 
-use monsooncart_types::{map, time};
+use monsooncart_types::{instance, map, time};
 use rand::RngExt as _;
 use rand::rngs::SmallRng;
 
-use crate::{action, event, handle, inventory, outcome, poison, service};
+use crate::{action, event, handle, inventory, outcome, path, poison, service};
 
 pub use config::Config;
 
@@ -58,7 +60,15 @@
 struct Pending {
     arrival: event::Arrival,
     attempts: Vec<handle::Attempt>,
+    /// Servers that the request was sent to; they count towards its maximum number of attempts.
     tried_servers: Vec<handle::Server>,
+    /// Servers to which no connection could be opened.
+    unreachable_servers: Vec<handle::Server>,
+    /// Daemons that were asked to relay the request.
+    tried_relays: Vec<instance::Instance>,
+    /// Number of servers that relays were allowed to send the request to, less those allowed to relays
+    /// that certainly sent it to none.
+    relayed_attempts: u32,
     /// Whether a finished attempt may have been executed.
     may_have_run: bool,
 }
@@ -89,6 +99,10 @@
     mean_service_time: Option<Duration>,
     latency_objective: Duration,
     fleet: rate_limit::Fleet,
+    path: path::Path,
+    relays: relay::Relays,
+    /// When a server responded last.
+    last_response_at: time::Time,
     /// Servers that were removed from the configuration, with the time of their removal. What they
     /// asked for stays in force if the same run returns.
     removed_servers: map::Map<handle::Server, (time::Time, server::Server)>,
@@ -113,6 +127,15 @@
                 };
                 self.record_completion(now, attempt, completion, actions);
             }
+            event::Event::Responded {
+                attempt,
+                connected_at,
+            } => self.record_response(now, attempt, connected_at, actions),
+            event::Event::PathProbe {
+                server,
+                connected_at,
+            } => self.record_path_probe(now, server, connected_at, actions),
+            event::Event::PeerPathLost => self.check_own_path(now, actions),
             event::Event::Leaving(server) => {
                 if let Some(server) = self.server_mut(server) {
                     server.announced_leaving = true;
@@ -152,7 +175,7 @@
     }
 
     fn is_idle(&self) -> bool {
-        self.in_flight.is_empty()
+        self.in_flight.is_empty() && self.relays.is_idle() && !self.path.is_lost()
     }
 
     fn digest(&mut self, _now: time::Time) -> Vec<(handle::Server, event::Digest)> {
@@ -176,6 +199,7 @@
         self.latency_objective = inventory.latency_objective;
         self.fleet.daemons = inventory.daemons;
         self.fleet.unix_origin = inventory.unix_origin;
+        self.relays.configure(inventory.relays);
         let mut old: map::Map<_, _> = self
             .servers
             .drain(..)
@@ -238,12 +262,15 @@
             arrival,
             attempts: Vec::new(),
             tried_servers: Vec::new(),
+            unreachable_servers: Vec::new(),
+            tried_relays: Vec::new(),
+            relayed_attempts: 0,
             may_have_run: false,
         };
-        let target = self.select_server(now, &pending);
+        let target = self.select_target(now, &pending);
         self.requests.insert(request, pending);
         match target {
-            Some(target) => self.send(now, request, target, actions),
+            Some(target) => self.send_to(now, request, target, actions),
             None => {
                 let reason = self.unavailable_reason();
                 self.refuse(now, request, reason, actions);
@@ -275,6 +302,9 @@
 
     fn cancel_attempts(&mut self, attempts: &[handle::Attempt], actions: &mut Vec<action::Action>) {
         for attempt in attempts {
+            if self.relays.cancel(*attempt) {
+                actions.push(action::Action::Cancel(*attempt));
+            }
             if let Some(in_flight) = self.in_flight.get_mut(attempt) {
                 in_flight.cancelled = true;
                 actions.push(action::Action::Cancel(*attempt));
@@ -313,6 +343,7 @@
             started_millis: target.spec.started_millis,
             sent_at: now,
             unqueued,
+            responded: false,
             slow_recorded: false,
             cancelled: false,
             fingerprint: pending.arrival.fingerprint,
@@ -366,6 +397,7 @@
         actions: &mut Vec<action::Action>,
     ) {
         let Some(in_flight) = self.in_flight.remove(&attempt) else {
+            self.record_relay_completion(now, attempt, &completion, actions);
             return;
         };
         self.record_outcome(now, &in_flight, &completion, actions);
@@ -380,6 +412,10 @@
         if completion.outcome == outcome::Outcome::Removed {
             pending.tried_servers.retain(|&s| s != in_flight.server);
         }
+        if completion.outcome == outcome::Outcome::Unsent {
+            pending.tried_servers.retain(|&s| s != in_flight.server);
+            pending.unreachable_servers.push(in_flight.server);
+        }
         if let outcome::Outcome::Answered(_) | outcome::Outcome::Cancelled = completion.outcome {
             let others = std::mem::take(&mut pending.attempts);
             self.requests.remove(&in_flight.request);
@@ -389,44 +425,47 @@
         if !pending.attempts.is_empty() {
             return;
         }
-        self.retry_or_refuse(now, &in_flight, &completion, actions);
+        // An attempt that was not sent adds no load to the service.
+        let added_load = !matches!(
+            completion.outcome,
+            outcome::Outcome::Unsent | outcome::Outcome::Removed
+        );
+        let (request, fingerprint) = (in_flight.request, in_flight.fingerprint);
+        self.retry_or_refuse(now, request, fingerprint, &completion, added_load, actions);
     }
 
-    /// Retries a request if that is permitted, and refuses it otherwise.
+    /// Retries a request if that is permitted, and refuses it otherwise. Only a retry after an attempt
+    /// that added load to the service draws on the budget.
     fn retry_or_refuse(
         &mut self,
         now: time::Time,
-        in_flight: &in_flight::Attempt,
+        request: handle::Request,
+        fingerprint: Option<handle::Fingerprint>,
         completion: &Completion,
+        added_load: bool,
         actions: &mut Vec<action::Action>,
     ) {
-        let request = in_flight.request;
         let Some(pending) = self.requests.get(&request).cloned() else {
             return;
         };
         let arrival = pending.arrival;
         let quarantined = |f| self.poison.quarantined_until(now, f).is_some();
-        let is_poison = in_flight.fingerprint.is_some_and(quarantined);
+        let is_poison = fingerprint.is_some_and(quarantined);
         let may_retry = completion.replayable
             && (arrival.repeatable || !pending.may_have_run)
             && !is_poison
             && now < arrival.deadline;
-        // An attempt that was not sent adds no load to the service.
-        let is_unsent = matches!(
-            completion.outcome,
-            outcome::Outcome::Unsent | outcome::Outcome::Removed
-        );
         let target =
-            if may_retry && (is_unsent || self.budget.allows_retry(now, self.daemon_count())) {
-                self.select_server(now, &pending)
+            if may_retry && (!added_load || self.budget.allows_retry(now, self.daemon_count())) {
+                self.select_target(now, &pending)
             } else {
                 None
             };
         if let Some(target) = target {
-            if !is_unsent {
+            if added_load {
                 self.budget.record_retry(now);
             }
-            self.send(now, request, target, actions);
+            self.send_to(now, request, target, actions);
             return;
         }
         let reason = match completion.outcome {
@@ -449,7 +488,7 @@
         self.expire_removed_servers(now);
         let slow_threshold = self.typical_latency().mul_f64(SLOW_RATIO);
         let mut ages = Vec::new();
-        for (attempt, in_flight) in &mut self.in_flight {
+        for in_flight in self.in_flight.values_mut() {
             let age = now.since(in_flight.sent_at);
             if age >= slow_threshold && !in_flight.slow_recorded && !in_flight.cancelled {
                 in_flight.slow_recorded = true;
@@ -457,9 +496,11 @@
                     self.servers[*index].record_slow(now);
                 }
             }
-            ages.push((*attempt, in_flight.request, age));
+            ages.push((in_flight.request, age));
         }
-        for (_, request, age) in ages {
+        ages.extend(self.relays.ages(now));
+        self.probe_path(now, actions);
+        for (request, age) in ages {
             self.hedge(now, request, age, actions);
         }
     }
@@ -491,9 +532,14 @@
             return;
         }
         let pending = pending.clone();
-        if let Some(target) = self.select_server(now, &pending) {
+        let target = match self.is_silent(now) {
+            // Another path is tried as well as another server.
+            true => self.select_target_avoiding_path(now, &pending),
+            false => self.select_target(now, &pending),
+        };
+        if let Some(target) = target {
             self.budget.record_retry(now);
-            self.send(now, request, target, actions);
+            self.send_to(now, request, target, actions);
         }
     }
 }
--- a/crates/policy/src/selector/choice.rs
+++ b/crates/policy/src/selector/choice.rs
@@ -19,6 +19,10 @@
 /// The maximum is at least this, so that a slot that becomes free is used at once.
 const MIN_QUEUED_RATIO: f64 = 0.5;
 
+/// Number of servers to which no connection could be opened after which a request is tried at no
+/// further one.
+const MAX_UNREACHABLE_SERVERS: usize = 4;
+
 /// Priority value from which a request counts as lowest priority.
 const LOWEST_PRIORITY: u32 = 2;
 
@@ -44,10 +48,8 @@
     /// If the request can be retried, the cost includes a retry at the best other server.
     pub(super) fn select_server(&mut self, now: time::Time, pending: &Pending) -> Option<usize> {
         let arrival = &pending.arrival;
-        let attempts_left = arrival
-            .max_attempts
-            .saturating_sub(pending.tried_servers.len() as u32);
-        if attempts_left == 0 {
+        let attempts_left = self.attempts_left(pending);
+        if attempts_left == 0 || pending.unreachable_servers.len() >= MAX_UNREACHABLE_SERVERS {
             return None;
         }
         for server in &mut self.servers {
@@ -98,7 +100,9 @@
         let servers = self.servers.iter().enumerate();
         let eligible = servers.filter(|(_, server)| {
             let handle = server.spec.handle;
-            !pending.tried_servers.contains(&handle) && crashed != Some(handle)
+            !pending.tried_servers.contains(&handle)
+                && !pending.unreachable_servers.contains(&handle)
+                && crashed != Some(handle)
         });
         let costs = eligible.filter_map(|(index, s)| s.cost(now, &profile).map(|c| (index, c)));
         costs.collect()
--- a/crates/policy/src/selector/config.rs
+++ b/crates/policy/src/selector/config.rs
@@ -2,12 +2,12 @@
 
 use std::time::Duration;
 
-use monsooncart_types::{instance, map};
+use monsooncart_types::{instance, map, time};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
-use crate::poison;
-use crate::selector::{Selector, budget, rate_limit};
+use crate::selector::{Selector, budget, rate_limit, relay};
+use crate::{path, poison};
 
 /// Builds a [`Selector`].
 #[derive(Clone, Copy, Debug)]
@@ -58,6 +58,9 @@
             mean_latency: None,
             mean_service_time: None,
             latency_objective: Duration::from_secs(1),
+            path: path::Path::default(),
+            relays: relay::Relays::default(),
+            last_response_at: time::Time::ZERO,
             removed_servers: map::Map::default(),
             fleet: rate_limit::Fleet {
                 own: self.instance,
--- a/crates/policy/src/selector/evidence.rs
+++ b/crates/policy/src/selector/evidence.rs
@@ -8,7 +8,7 @@
 use crate::{action, event, handle, outcome, poison};
 
 /// Lowest response status that counts as a failure.
-const MIN_FAILURE_STATUS: u16 = 500;
+pub(super) const MIN_FAILURE_STATUS: u16 = 500;
 
 /// Status with which a server reports that the deadline of the request has passed, which is not a
 /// failure of the server.
@@ -92,10 +92,11 @@
             outcome::Outcome::Timeout | outcome::Outcome::Cancelled => {}
         }
         self.report_state(now, in_flight.server, actions);
+        self.record_path_failure(now, in_flight, completion.outcome, actions);
     }
 
     /// Reports a changed state of a server to operators.
-    fn report_state(
+    pub(super) fn report_state(
         &mut self,
         now: time::Time,
         server: handle::Server,
@@ -235,6 +236,9 @@
         digests: &[(handle::Server, event::Digest)],
         actions: &mut Vec<action::Action>,
     ) {
+        if digests.iter().any(|(_, digest)| digest.good > 0) {
+            self.relays.record_proof(now, from);
+        }
         for (server, digest) in digests {
             if let Some(known) = self.server_mut(*server) {
                 known.merge_digest(now, from, digest);
--- a/crates/policy/src/selector/in_flight.rs
+++ b/crates/policy/src/selector/in_flight.rs
@@ -17,6 +17,8 @@
     pub sent_at: time::Time,
     /// Whether the server had a free slot, as far as known, when the attempt was sent.
     pub unqueued: bool,
+    /// Whether the server responded, if only with a head.
+    pub responded: bool,
     /// Whether the attempt was already recorded as slow.
     pub slow_recorded: bool,
     /// Whether the attempt was cancelled because its request is already completed or refused.
--- /dev/null
+++ b/crates/policy/src/selector/path_loss.rs
@@ -0,0 +1,342 @@
+//! What the selector does about a lost path: probes, and requests through relays.
+
+use std::time::Duration;
+
+use monsooncart_types::{instance, time};
+use rand::seq::IndexedRandom as _;
+
+use super::evidence::MIN_FAILURE_STATUS;
+use super::{Completion, Pending, Selector, in_flight, relay};
+use crate::{action, handle, outcome, path};
+
+/// Time for which attempts wait without a response from any server before servers are probed, as a
+/// multiple of the typical latency.
+const SILENCE_RATIO: f64 = 2.0;
+
+/// Minimum of that time.
+const MIN_SILENCE: Duration = Duration::from_millis(300);
+
+/// Where an attempt is sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Target {
+    /// Index of a server.
+    Server(usize),
+    /// A daemon that relays the request.
+    Relay(instance::Instance),
+}
+
+impl Selector {
+    /// Selects the target of an attempt: a relay where the path is lost, or doubted after a failure of
+    /// this request; otherwise a server. A relayed request is not relayed again.
+    pub(super) fn select_target(&mut self, now: time::Time, pending: &Pending) -> Option<Target> {
+        if self.path.is_lost() && pending.arrival.relayed {
+            return None;
+        }
+        let is_doubted = |server: &handle::Server| self.path.is_doubted_beside(*server);
+        if self.path.is_lost() || pending.unreachable_servers.iter().any(is_doubted) {
+            return self.select_target_avoiding_path(now, pending);
+        }
+        self.select_server(now, pending).map(Target::Server)
+    }
+
+    /// Selects a relay, or a server if there is no relay.
+    pub(super) fn select_target_avoiding_path(
+        &mut self,
+        now: time::Time,
+        pending: &Pending,
+    ) -> Option<Target> {
+        let may_relay = !pending.arrival.relayed
+            && self.attempts_left(pending) > 0
+            && pending.tried_relays.len() < relay::MAX_RELAYS;
+        let relays = &self.relays;
+        let relay = may_relay
+            .then(|| relays.select(now, &pending.tried_relays, &mut self.rng))
+            .flatten();
+        match relay {
+            Some(peer) => Some(Target::Relay(peer)),
+            None => self.select_server(now, pending).map(Target::Server),
+        }
+    }
+
+    /// Number of servers that the request may still be sent to.
+    pub(super) fn attempts_left(&self, pending: &Pending) -> u32 {
+        let tried = u32::try_from(pending.tried_servers.len()).unwrap_or(u32::MAX);
+        let used = tried.saturating_add(pending.relayed_attempts);
+        pending.arrival.max_attempts.saturating_sub(used)
+    }
+
+    pub(super) fn send_to(
+        &mut self,
+        now: time::Time,
+        request: handle::Request,
+        target: Target,
+        actions: &mut Vec<action::Action>,
+    ) {
+        match target {
+            Target::Server(index) => self.send(now, request, index, actions),
+            Target::Relay(peer) => self.send_to_relay(now, request, peer, actions),
+        }
+    }
+
+    fn send_to_relay(
+        &mut self,
+        now: time::Time,
+        request: handle::Request,
+        peer: instance::Instance,
+        actions: &mut Vec<action::Action>,
+    ) {
+        let Some(pending) = self.requests.get(&request) else {
+            return;
+        };
+        let attempts_left = self.attempts_left(pending);
+        let max_attempts = match pending.arrival.repeatable {
+            true => attempts_left.saturating_sub(1).max(1),
+            false => attempts_left,
+        };
+        self.attempts_sent += 1;
+        let attempt = handle::Attempt(self.attempts_sent);
+        if let Some(pending) = self.requests.get_mut(&request) {
+            pending.attempts.push(attempt);
+            pending.tried_relays.push(peer);
+            pending.relayed_attempts += max_attempts;
+        }
+        let relayed = relay::Attempt {
+            request,
+            peer,
+            max_attempts,
+            sent_at: now,
+            cancelled: false,
+        };
+        self.relays.record_sent(attempt, relayed);
+        actions.push(action::Action::Relay {
+            request,
+            attempt,
+            peer,
+            max_attempts,
+        });
+    }
+
+    /// Records the result of an attempt that was sent to a relay, if it is one.
+    pub(super) fn record_relay_completion(
+        &mut self,
+        now: time::Time,
+        attempt: handle::Attempt,
+        completion: &Completion,
+        actions: &mut Vec<action::Action>,
+    ) {
+        let Some(relayed) = self.relays.take_finished(attempt) else {
+            return;
+        };
+        match completion.outcome {
+            outcome::Outcome::Shed { .. } => self.relays.record_refusal(now, relayed.peer),
+            outcome::Outcome::Answered(status) if status < MIN_FAILURE_STATUS => {
+                self.relays.record_proof(now, relayed.peer);
+            }
+            outcome::Outcome::Unsent
+            | outcome::Outcome::Broken
+            | outcome::Outcome::Timeout
+            | outcome::Outcome::Garbled => self.relays.record_failure(now, relayed.peer),
+            _ => {}
+        }
+        if relayed.cancelled {
+            return;
+        }
+        let Some(pending) = self.requests.get_mut(&relayed.request) else {
+            return;
+        };
+        pending.attempts.retain(|&a| a != attempt);
+        match completion.outcome.execution() {
+            outcome::Execution::NotRun => pending.relayed_attempts -= relayed.max_attempts,
+            outcome::Execution::Unknown => pending.may_have_run = true,
+        }
+        if let outcome::Outcome::Answered(_) | outcome::Outcome::Cancelled = completion.outcome {
+            let others = std::mem::take(&mut pending.attempts);
+            self.requests.remove(&relayed.request);
+            self.cancel_attempts(&others, actions);
+            return;
+        }
+        if pending.attempts.is_empty() {
+            let fingerprint = pending.arrival.fingerprint;
+            // The relay itself counts what it sent to servers.
+            let added_load = completion.outcome.execution() == outcome::Execution::Unknown;
+            let request = relayed.request;
+            self.retry_or_refuse(now, request, fingerprint, completion, added_load, actions);
+        }
+    }
+
+    /// Records a response of a server, which shows that the path to it was there when its connection
+    /// was opened.
+    pub(super) fn record_response(
+        &mut self,
+        now: time::Time,
+        attempt: handle::Attempt,
+        connected_at: time::Time,
+        actions: &mut Vec<action::Action>,
+    ) {
+        if let Some(in_flight) = self.in_flight.get_mut(&attempt) {
+            in_flight.responded = true;
+        }
+        self.record_path(now, connected_at, actions);
+    }
+
+    /// Records the result of a path probe.
+    pub(super) fn record_path_probe(
+        &mut self,
+        now: time::Time,
+        server: handle::Server,
+        connected_at: Option<time::Time>,
+        actions: &mut Vec<action::Action>,
+    ) {
+        match connected_at {
+            Some(connected_at) => self.record_path(now, connected_at, actions),
+            None => {
+                let failure = path::Failure {
+                    server,
+                    failed_at: now,
+                    withheld: false,
+                };
+                self.add_path_failure(failure, actions);
+            }
+        }
+    }
+
+    fn record_path(
+        &mut self,
+        now: time::Time,
+        connected_at: time::Time,
+        actions: &mut Vec<action::Action>,
+    ) {
+        self.last_response_at = now;
+        let (servers_fault, was_lost) = self.path.record_response(connected_at);
+        for failure in servers_fault.iter().filter(|failure| failure.withheld) {
+            if let Some(server) = self.server_mut(failure.server) {
+                server.record_failure(now);
+            }
+            self.report_state(now, failure.server, actions);
+        }
+        if was_lost {
+            actions.push(action::Action::ReportPath {
+                lost: false,
+                evidence: "a server responded on a new connection".to_owned(),
+            });
+        }
+    }
+
+    /// Records an attempt that ended without any response, which may be the path's fault.
+    pub(super) fn record_path_failure(
+        &mut self,
+        now: time::Time,
+        in_flight: &in_flight::Attempt,
+        outcome: outcome::Outcome,
+        actions: &mut Vec<action::Action>,
+    ) {
+        let is_silent = matches!(
+            outcome,
+            outcome::Outcome::Unsent | outcome::Outcome::Broken | outcome::Outcome::Timeout
+        );
+        if !is_silent || in_flight.responded {
+            return;
+        }
+        let failure = path::Failure {
+            server: in_flight.server,
+            failed_at: now,
+            withheld: outcome == outcome::Outcome::Unsent,
+        };
+        self.add_path_failure(failure, actions);
+    }
+
+    fn add_path_failure(&mut self, failure: path::Failure, actions: &mut Vec<action::Action>) {
+        let available = self.servers.iter().filter(|s| !s.is_unavailable()).count();
+        if !self.path.record_failure(failure, available) {
+            return;
+        }
+        actions.push(action::Action::ReportPath {
+            lost: true,
+            evidence: self.path.to_string(),
+        });
+        self.probe_path(failure.failed_at, actions);
+        self.hedge_through_relays(failure.failed_at, actions);
+    }
+
+    /// Probes servers while the path is lost, and when attempts wait with no response from any server.
+    pub(super) fn probe_path(&mut self, now: time::Time, actions: &mut Vec<action::Action>) {
+        let silent_server = self.silent_server(now);
+        if self.path.take_probe(now, silent_server.is_some()) {
+            self.send_probes(silent_server, actions);
+        }
+    }
+
+    /// Probes servers if none has responded lately, so that a daemon without traffic knows whether it
+    /// can relay requests.
+    pub(super) fn check_own_path(&mut self, now: time::Time, actions: &mut Vec<action::Action>) {
+        let is_unproven = now.since(self.last_response_at) >= relay::PROOF_LIFETIME;
+        if self.path.take_probe(now, is_unproven) {
+            self.send_probes(None, actions);
+        }
+    }
+
+    /// Probes the server from which a response is missing, and others.
+    fn send_probes(
+        &mut self,
+        silent_server: Option<handle::Server>,
+        actions: &mut Vec<action::Action>,
+    ) {
+        let available = self.servers.iter().filter(|s| !s.is_unavailable());
+        let others = available.map(|server| server.spec.handle);
+        let others: Vec<_> = others.filter(|s| Some(*s) != silent_server).collect();
+        let count = path::PROBED_SERVERS - usize::from(silent_server.is_some());
+        let others = others.sample(&mut self.rng, count).copied();
+        let probed = silent_server.into_iter().chain(others);
+        actions.extend(probed.map(action::Action::ProbePath));
+    }
+
+    /// Whether attempts wait with no response from any server.
+    pub(super) fn is_silent(&self, now: time::Time) -> bool {
+        self.silent_server(now).is_some()
+    }
+
+    /// Server of the oldest attempt, if that has waited long and no server has responded since it was
+    /// sent.
+    fn silent_server(&self, now: time::Time) -> Option<handle::Server> {
+        let silence = self.typical_latency().mul_f64(SILENCE_RATIO);
+        let silence = silence.max(MIN_SILENCE);
+        let waiting = self
+            .in_flight
+            .values()
+            .filter(|a| !a.responded && !a.cancelled);
+        let oldest = waiting.min_by_key(|attempt| attempt.sent_at)?;
+        let is_silent =
+            self.last_response_at < oldest.sent_at && now.since(oldest.sent_at) >= silence;
+        is_silent.then_some(oldest.server)
+    }
+
+    /// Sends repeatable requests, whose only attempt waits for a server behind a lost path, through
+    /// relays as well.
+    fn hedge_through_relays(&mut self, now: time::Time, actions: &mut Vec<action::Action>) {
+        let waits = |pending: &Pending| {
+            let [attempt] = pending.attempts.as_slice() else {
+                return false;
+            };
+            let in_flight = self.in_flight.get(attempt);
+            in_flight.is_some_and(|attempt| !attempt.responded)
+        };
+        let repeatable = self
+            .requests
+            .iter()
+            .filter(|(_, p)| p.arrival.repeatable && waits(p));
+        let mut requests: Vec<_> = repeatable.map(|(request, _)| *request).collect();
+        requests.sort_unstable();
+        for request in requests {
+            if !self.budget.allows_retry(now, self.daemon_count()) {
+                return;
+            }
+            let Some(pending) = self.requests.get(&request).cloned() else {
+                continue;
+            };
+            if let Some(target @ Target::Relay(_)) = self.select_target(now, &pending) {
+                self.budget.record_retry(now);
+                self.send_to(now, request, target, actions);
+            }
+        }
+    }
+}
--- a/crates/policy/src/selector/server.rs
+++ b/crates/policy/src/selector/server.rs
@@ -310,6 +310,7 @@
     pub fn record_failure(&mut self, now: time::Time) {
         self.observe(now, belief::Observation::Failure);
         self.unreported.bad += 1;
+        self.digest_changed = true;
     }
 
     /// Records an attempt whose response is slow.
@@ -330,10 +331,10 @@
         self.backoff_ends_at = backoff_ends_at.max(self.backoff_ends_at);
     }
 
-    /// Records that no connection could be opened, and starts the backoff.
+    /// Starts the backoff after a failure to open a connection. It is no evidence about the server
+    /// yet, as the fault may be in this daemon's path.
     pub fn record_unreachable(&mut self, now: time::Time) {
-        self.observe(now, belief::Observation::Failure);
-        self.unreported.bad += 1;
+        self.digest_changed = true;
         let backoff = (INITIAL_UNREACHABLE_BACKOFF * 2u32.pow(self.consecutive_unreachable.min(4)))
             .min(MAX_UNREACHABLE_BACKOFF);
         self.consecutive_unreachable += 1;
--- a/crates/policy/tests/balancer/fixture.rs
+++ b/crates/policy/tests/balancer/fixture.rs
@@ -45,6 +45,7 @@
         floor_slots: 0,
         sensitivity: health::Sensitivity::Balanced,
         daemons: vec![instance::Instance(1)],
+        relays: Vec::new(),
         unix_origin: Duration::ZERO,
         latency_objective: Duration::from_millis(200),
     }
@@ -128,6 +129,7 @@
             expected_response_bytes: 0,
             deadline: self.now + Duration::from_secs(10),
             fingerprint: None,
+            relayed: false,
         }
     }
 
--- a/crates/policy/tests/balancer/simulation.rs
+++ b/crates/policy/tests/balancer/simulation.rs
@@ -162,6 +162,7 @@
             floor_slots: 0,
             sensitivity: self.plan.sensitivity,
             daemons: vec![instance::Instance(1)],
+            relays: Vec::new(),
             unix_origin: Duration::ZERO,
             latency_objective: Duration::from_millis(200),
         };
@@ -238,6 +239,7 @@
             expected_response_bytes: 0,
             deadline: request.deadline,
             fingerprint: None,
+            relayed: false,
         };
         self.requests.insert(number, request);
         self.outcome.requests += 1;
@@ -299,7 +301,10 @@
             action::Action::ReportCrash { .. }
             | action::Action::Quarantine { .. }
             | action::Action::ReportState { .. }
-            | action::Action::ReportRateLimit { .. } => {}
+            | action::Action::ReportRateLimit { .. }
+            | action::Action::Relay { .. }
+            | action::Action::ProbePath(_)
+            | action::Action::ReportPath { .. } => {}
         }
     }
 
--- a/crates/policy/tests/selector/fixture.rs
+++ b/crates/policy/tests/selector/fixture.rs
@@ -10,6 +10,9 @@
 /// The only daemon.
 const INSTANCE: instance::Instance = instance::Instance(1);
 
+/// Daemons that can relay requests.
+pub const RELAYS: [instance::Instance; 2] = [instance::Instance(2), instance::Instance(3)];
+
 pub const MS: Duration = Duration::from_millis(1);
 
 /// A selector with a clock that the test advances.
@@ -39,17 +42,35 @@
     }
 }
 
+fn relay(peer: instance::Instance) -> inventory::Relay {
+    inventory::Relay {
+        peer,
+        local: true,
+        capacity: 200,
+    }
+}
+
 pub fn inventory(servers: Vec<inventory::Server>) -> event::Event {
     event::Event::Inventory(inventory::Inventory {
         servers,
         floor_slots: 0,
         sensitivity: health::Sensitivity::Fast,
         daemons: vec![INSTANCE],
+        relays: Vec::new(),
         unix_origin: Duration::ZERO,
         latency_objective: 1000 * MS,
     })
 }
 
+/// An inventory with [`RELAYS`].
+pub fn inventory_with_relays(servers: Vec<inventory::Server>) -> event::Event {
+    let mut event = inventory(servers);
+    if let event::Event::Inventory(inventory) = &mut event {
+        inventory.relays = RELAYS.map(relay).to_vec();
+    }
+    event
+}
+
 pub fn harness(servers: Vec<inventory::Server>) -> Harness {
     harness_with_seed(servers, 7)
 }
@@ -93,6 +114,7 @@
             expected_response_bytes: 1000,
             deadline: self.now + 4000 * MS,
             fingerprint: None,
+            relayed: false,
         }
     }
 
@@ -130,6 +152,17 @@
 
     /// Reports results at one server, as evidence of a peer.
     pub fn report_evidence(&mut self, server: u32, good: u32, bad: u32) {
+        self.report_evidence_of(instance::Instance(99), server, good, bad);
+    }
+
+    /// Reports results at one server, as evidence of this peer.
+    pub fn report_evidence_of(
+        &mut self,
+        from: instance::Instance,
+        server: u32,
+        good: u32,
+        bad: u32,
+    ) {
         let digest = event::Digest {
             good,
             bad,
@@ -139,7 +172,7 @@
             suspicion: 0,
         };
         self.handle(event::Event::Evidence {
-            from: instance::Instance(99),
+            from,
             digests: vec![(handle::Server(server), digest)],
         });
     }
@@ -162,6 +195,22 @@
     actions.iter().filter_map(sent).collect()
 }
 
+/// Attempts that relays are asked for, with the relay and the number of servers allowed to it.
+pub fn relayed_attempts(
+    actions: &[action::Action],
+) -> Vec<(handle::Attempt, instance::Instance, u32)> {
+    let relayed = |action: &action::Action| match action {
+        action::Action::Relay {
+            attempt,
+            peer,
+            max_attempts,
+            ..
+        } => Some((*attempt, *peer, *max_attempts)),
+        _ => None,
+    };
+    actions.iter().filter_map(relayed).collect()
+}
+
 pub fn refusals(actions: &[action::Action]) -> Vec<outcome::Refusal> {
     let refusal = |action: &action::Action| match action {
         action::Action::Refuse { refusal, .. } => Some(*refusal),
--- a/crates/policy/tests/selector/main.rs
+++ b/crates/policy/tests/selector/main.rs
@@ -7,6 +7,7 @@
 mod invariants;
 mod outcomes;
 mod overload;
+mod path_loss;
 mod rate_limit;
 mod report;
 mod retry_after;
--- /dev/null
+++ b/crates/policy/tests/selector/path_loss.rs
@@ -0,0 +1,299 @@
+//! Requests at a daemon that has lost its path to all servers.
+
+use monsooncart_policy::service::Policy as _;
+use monsooncart_policy::{action, event, handle, outcome};
+
+use crate::fixture::{self, Harness, MS, RELAYS, refusals, relayed_attempts, sent_attempts};
+
+fn harness(servers: u32) -> Harness {
+    let servers: Vec<_> = (0..servers).map(fixture::server).collect();
+    let mut harness = fixture::harness(servers.clone());
+    harness.handle(fixture::inventory_with_relays(servers));
+    harness
+}
+
+/// Whether the actions report a lost path, or a path that is there again.
+fn path_reports(actions: &[action::Action]) -> Vec<bool> {
+    let report = |action: &action::Action| match action {
+        action::Action::ReportPath { lost, .. } => Some(*lost),
+        _ => None,
+    };
+    actions.iter().filter_map(report).collect()
+}
+
+fn probed_servers(actions: &[action::Action]) -> Vec<handle::Server> {
+    let probed = |action: &action::Action| match action {
+        action::Action::ProbePath(server) => Some(*server),
+        _ => None,
+    };
+    actions.iter().filter_map(probed).collect()
+}
+
+/// Has requests fail at servers to which no connection can be opened, until the path is lost.
+fn lose_path(harness: &mut Harness) {
+    let mut actions = harness.arrive(false);
+    for _ in 0..2 {
+        let sent = sent_attempts(&actions)[0];
+        harness.advance(MS);
+        actions = harness.finish(sent.attempt, outcome::Outcome::Unsent);
+    }
+    assert_eq!(path_reports(&actions), [true]);
+    let relayed = relayed_attempts(&actions)[0];
+    harness.finish(relayed.0, outcome::Outcome::Answered(200));
+}
+
+/// Responds to an attempt on a connection that was opened now.
+fn respond(harness: &mut Harness, attempt: handle::Attempt) -> Vec<action::Action> {
+    let connected_at = harness.now;
+    harness.handle(event::Event::Responded {
+        attempt,
+        connected_at,
+    })
+}
+
+/// Guards against a request that is refused because failed connections used up its attempts (RECOVER).
+#[test]
+fn a_request_that_reaches_no_server_keeps_its_attempts_and_is_relayed() {
+    let mut harness = harness(3);
+
+    let first = sent_attempts(&harness.arrive(false))[0];
+    let second = harness.finish(first.attempt, outcome::Outcome::Unsent);
+    let second = sent_attempts(&second)[0];
+    let actions = harness.finish(second.attempt, outcome::Outcome::Unsent);
+
+    assert_ne!(first.server, second.server);
+    let relayed = relayed_attempts(&actions);
+    assert_eq!(relayed.len(), 1);
+    assert_eq!(relayed[0].2, 2, "servers that the relay may send it to");
+}
+
+/// Guards against requests that are tried at unreachable servers while the path is lost (RECOVER).
+#[test]
+fn requests_are_relayed_at_their_first_attempt_while_the_path_is_lost() {
+    let mut harness = harness(3);
+    lose_path(&mut harness);
+
+    for repeatable in [true, false] {
+        let actions = harness.arrive(repeatable);
+
+        assert_eq!(sent_attempts(&actions), []);
+        assert_eq!(relayed_attempts(&actions).len(), 1);
+    }
+}
+
+#[test]
+fn a_request_that_a_relay_refused_as_not_run_is_relayed_by_another_one() {
+    let mut harness = harness(3);
+    lose_path(&mut harness);
+    harness.advance(2000 * MS);
+
+    let first = relayed_attempts(&harness.arrive(false))[0];
+    let shed = outcome::Outcome::Shed { leaving: false };
+    let second = relayed_attempts(&harness.finish(first.0, shed))[0];
+    let actions = harness.finish(second.0, shed);
+
+    let mut relays = [first.1, second.1];
+    relays.sort_unstable();
+    assert_eq!(relays, RELAYS);
+    assert_eq!(relayed_attempts(&actions), []);
+}
+
+/// Guards against an unrepeatable request that runs twice because a relay did not answer.
+#[test]
+fn an_unrepeatable_request_whose_relay_did_not_answer_is_not_sent_again() {
+    let mut harness = harness(3);
+    lose_path(&mut harness);
+
+    for end in [outcome::Outcome::Broken, outcome::Outcome::Timeout] {
+        harness.advance(2000 * MS);
+        let relayed = relayed_attempts(&harness.arrive(false))[0];
+        let actions = harness.finish(relayed.0, end);
+
+        assert_eq!(sent_attempts(&actions), []);
+        assert_eq!(relayed_attempts(&actions), []);
+        assert_eq!(refusals(&actions)[0].execution, outcome::Execution::Unknown);
+    }
+}
+
+/// Guards against requests that wait at a relay which has lost its path unnoticed (RECOVER).
+#[test]
+fn a_repeatable_request_without_a_response_of_its_relay_is_relayed_by_another_one() {
+    let mut harness = harness(3);
+    lose_path(&mut harness);
+    harness.advance(2000 * MS);
+    let first = relayed_attempts(&harness.arrive(true))[0];
+
+    harness.advance(600 * MS);
+    let second = relayed_attempts(&harness.handle(event::Event::Tick))[0];
+    let actions = harness.finish(second.0, outcome::Outcome::Answered(200));
+
+    assert_ne!(first.1, second.1);
+    assert!(actions.contains(&action::Action::Cancel(first.0)));
+}
+
+/// Guards against a loop of relays.
+#[test]
+fn a_relayed_request_is_never_relayed_again() {
+    let mut harness = harness(3);
+    lose_path(&mut harness);
+
+    let mut arrival = harness.arrival(true);
+    arrival.relayed = true;
+    let actions = harness.handle(event::Event::Arrive(arrival));
+
+    assert_eq!(relayed_attempts(&actions), []);
+    assert_eq!(sent_attempts(&actions), []);
+    assert_eq!(refusals(&actions)[0].execution, outcome::Execution::NotRun);
+}
+
+#[test]
+fn without_relays_requests_are_tried_at_servers() {
+    let mut harness = harness(4);
+    lose_path(&mut harness);
+    let servers = (0..4).map(fixture::server).collect();
+    harness.handle(fixture::inventory(servers));
+
+    let actions = harness.arrive(true);
+
+    assert_eq!(sent_attempts(&actions).len(), 1);
+}
+
+/// Guards against daemons with a path that doubt servers because of those without one (RECOVER).
+#[test]
+fn a_failed_connection_is_no_evidence_for_peers_until_the_path_is_known_to_be_there() {
+    let mut harness = harness(3);
+    let failed = sent_attempts(&harness.arrive(true))[0];
+    let retried = sent_attempts(&harness.finish(failed.attempt, outcome::Outcome::Unsent))[0];
+    let now = harness.now;
+    let bad = |harness: &mut Harness| {
+        let digests = harness.policy.digest(now);
+        let of_failed = digests.into_iter().find(|(s, _)| *s == failed.server);
+        of_failed.map_or(0, |(_, digest)| digest.bad)
+    };
+    assert_eq!(bad(&mut harness), 0);
+
+    harness.advance(MS);
+    let actions = respond(&mut harness, retried.attempt);
+
+    assert_eq!(path_reports(&actions), []);
+    assert_eq!(bad(&mut harness), 1);
+}
+
+#[test]
+fn a_response_on_an_older_connection_does_not_show_that_the_path_is_there() {
+    let mut harness = harness(3);
+    let kept = sent_attempts(&harness.arrive(true))[0];
+    let connected_at = harness.now;
+    harness.advance(MS);
+    lose_path(&mut harness);
+
+    let actions = harness.handle(event::Event::Responded {
+        attempt: kept.attempt,
+        connected_at,
+    });
+
+    assert_eq!(path_reports(&actions), []);
+    assert_eq!(relayed_attempts(&harness.arrive(true)).len(), 1);
+}
+
+#[test]
+fn servers_are_probed_while_the_path_is_lost_and_used_once_one_responds() {
+    let mut harness = harness(3);
+    lose_path(&mut harness);
+    harness.advance(600 * MS);
+    let probed = probed_servers(&harness.handle(event::Event::Tick));
+    assert_eq!(probed.len(), 2);
+    assert!(!harness.policy.is_idle());
+
+    let actions = harness.handle(event::Event::PathProbe {
+        server: probed[0],
+        connected_at: Some(harness.now),
+    });
+
+    assert_eq!(path_reports(&actions), [false]);
+    harness.advance(2000 * MS);
+    assert_eq!(sent_attempts(&harness.arrive(true)).len(), 1);
+    assert!(probed_servers(&harness.handle(event::Event::Tick)).is_empty());
+}
+
+/// Guards against a path that is known to be lost only after the timeouts of requests (RECOVER).
+#[test]
+fn silence_of_all_servers_is_probed_and_a_waiting_repeatable_request_is_relayed() {
+    let mut harness = harness(3);
+    let waiting = sent_attempts(&harness.arrive(true))[0];
+    harness.advance(400 * MS);
+    harness.handle(event::Event::Tick);
+    harness.advance(100 * MS);
+
+    let actions = harness.handle(event::Event::Tick);
+
+    assert_eq!(probed_servers(&actions)[0], waiting.server);
+    assert_eq!(sent_attempts(&actions), []);
+    let relayed = relayed_attempts(&actions);
+    assert_eq!(relayed.len(), 1);
+    assert_eq!(relayed[0].2, 1, "servers that the relay may send it to");
+}
+
+#[test]
+fn a_path_is_lost_once_the_probes_of_two_servers_got_no_response() {
+    let mut harness = harness(3);
+    let waiting = sent_attempts(&harness.arrive(false))[0];
+    harness.advance(600 * MS);
+    let probed = probed_servers(&harness.handle(event::Event::Tick));
+    let probe_failed = |server: handle::Server| event::Event::PathProbe {
+        server,
+        connected_at: None,
+    };
+    harness.handle(probe_failed(probed[0]));
+    let actions = harness.handle(probe_failed(probed[1]));
+
+    assert_eq!(probed[0], waiting.server);
+    assert_eq!(path_reports(&actions), [true]);
+}
+
+/// Guards against a relay that is chosen though its own path is lost and it has not noticed (RECOVER).
+#[test]
+fn a_relay_that_reports_successes_goes_before_one_that_reports_none() {
+    for _ in 0..20 {
+        let mut harness = harness(3);
+        lose_path(&mut harness);
+        harness.advance(2000 * MS);
+        harness.report_evidence_of(RELAYS[1], 0, 1, 0);
+
+        let relayed = relayed_attempts(&harness.arrive(true));
+
+        assert_eq!(relayed[0].1, RELAYS[1]);
+    }
+}
+
+#[test]
+fn a_daemon_without_traffic_probes_its_path_when_another_one_has_lost_its_own() {
+    let mut harness = harness(3);
+    harness.advance(2000 * MS);
+
+    let probed = probed_servers(&harness.handle(event::Event::PeerPathLost));
+    assert_eq!(probed.len(), 2);
+    harness.handle(event::Event::PathProbe {
+        server: probed[0],
+        connected_at: Some(harness.now),
+    });
+    harness.advance(400 * MS);
+
+    let probed = probed_servers(&harness.handle(event::Event::PeerPathLost));
+    assert_eq!(probed, []);
+}
+
+#[test]
+fn one_server_that_does_not_respond_is_no_lost_path() {
+    let mut harness = harness(3);
+    for _ in 0..5 {
+        let failed = sent_attempts(&harness.arrive(true))[0];
+        let actions = harness.finish(failed.attempt, outcome::Outcome::Unsent);
+        assert_eq!(path_reports(&actions), []);
+        let retried = sent_attempts(&actions)[0];
+        harness.advance(10 * MS);
+        respond(&mut harness, retried.attempt);
+        harness.finish(retried.attempt, outcome::Outcome::Answered(200));
+        harness.advance(3000 * MS);
+    }
+}
--- a/crates/policy/tests/selector/rate_limit.rs
+++ b/crates/policy/tests/selector/rate_limit.rs
@@ -104,6 +104,7 @@
                     true => instances.clone(),
                     false => vec![*own],
                 },
+                relays: Vec::new(),
                 unix_origin: Duration::from_secs(1_700_000_000)
                     + Duration::from_millis(random % (skew_millis + 1)),
                 latency_objective: 1000 * MS,
@@ -212,6 +213,7 @@
             expected_response_bytes: 1000,
             deadline: self.now + 4000 * MS,
             fingerprint: None,
+            relayed: false,
         }
     }
 }
--- a/crates/policy/tests/selector/retry_after.rs
+++ b/crates/policy/tests/selector/retry_after.rs
@@ -192,6 +192,7 @@
                     expected_response_bytes: 1000,
                     deadline: now + 4000 * MS,
                     fingerprint: None,
+                    relayed: false,
                 }));
             }
         }
--- a/crates/proxy/src/account.rs
+++ b/crates/proxy/src/account.rs
@@ -113,9 +113,9 @@
         self.record_head(status);
     }
 
-    /// Records the response of a server.
-    pub fn record_response(&mut self, server: &id::Server, status: u16) {
-        self.record.server = Some(server.clone());
+    /// Records the response of a server; `None` if a relay responded itself.
+    pub fn record_response(&mut self, server: Option<id::Server>, status: u16) {
+        self.record.server = server;
         self.possibly_sent.store(true, Ordering::Release);
         if let Some(claim) = self.claim.take() {
             claim.settle(outcome::Execution::Unknown, Some(status));
--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use monsooncart_policy::{event, handle, outcome};
-use monsooncart_types::rate;
+use monsooncart_types::{rate, time};
 
 use crate::{server, service};
 
@@ -12,6 +12,8 @@
 pub struct Attempt {
     service: Arc<service::Service>,
     attempt: handle::Attempt,
+    /// Whether another daemon relays the request.
+    relayed: bool,
     finished: bool,
 }
 
@@ -21,10 +23,27 @@
         Self {
             service,
             attempt,
+            relayed: false,
             finished: false,
         }
     }
 
+    /// An attempt for which another daemon relays the request.
+    pub fn relayed(service: Arc<service::Service>, attempt: handle::Attempt) -> Self {
+        let mut attempt = Self::new(service, attempt);
+        attempt.relayed = true;
+        attempt
+    }
+
+    /// Reports that the server responded on a connection that was opened at `connected_at`.
+    pub fn report_response(&self, connected_at: time::Time) {
+        let attempt = self.attempt;
+        self.service.handle_event(event::Event::Responded {
+            attempt,
+            connected_at,
+        });
+    }
+
     /// Reports that the response head was received.
     pub fn report_head(&self, status: u16) {
         let attempt = self.attempt;
@@ -70,7 +89,7 @@
         if std::mem::replace(&mut self.finished, true) {
             return;
         }
-        self.service.count_attempt(outcome);
+        self.service.count_attempt(outcome, self.relayed);
         self.service.handle_event(event::Event::Finish {
             attempt: self.attempt,
             outcome,
--- a/crates/proxy/src/caller.rs
+++ b/crates/proxy/src/caller.rs
@@ -13,7 +13,6 @@
 use std::time::Duration;
 
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
-use tokio::net::TcpStream;
 use tokio::time::{Instant, Sleep, sleep_until};
 
 use crate::{activity, stall};
@@ -29,8 +28,8 @@
 
 /// I/O stream of a caller's connection.
 #[derive(Debug)]
-pub struct Socket {
-    stream: TcpStream,
+pub struct Socket<S> {
+    stream: S,
     activity: Arc<activity::Activity>,
     stall: stall::Timer,
     replacement: Option<Replacement>,
@@ -45,13 +44,9 @@
     written_bytes: usize,
 }
 
-impl Socket {
+impl<S: AsyncRead + AsyncWrite + Unpin> Socket<S> {
     /// Wraps an accepted connection.
-    pub fn new(
-        stream: TcpStream,
-        activity: Arc<activity::Activity>,
-        stall_timeout: Duration,
-    ) -> Self {
+    pub fn new(stream: S, activity: Arc<activity::Activity>, stall_timeout: Duration) -> Self {
         Self {
             stream,
             activity,
@@ -138,7 +133,7 @@
     }
 }
 
-impl AsyncRead for Socket {
+impl<S: AsyncRead + Unpin> AsyncRead for Socket<S> {
     fn poll_read(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
@@ -155,7 +150,7 @@
     }
 }
 
-impl AsyncWrite for Socket {
+impl<S: AsyncRead + AsyncWrite + Unpin> AsyncWrite for Socket<S> {
     fn poll_write(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
--- a/crates/proxy/src/common.rs
+++ b/crates/proxy/src/common.rs
@@ -6,14 +6,15 @@
 use arc_swap::ArcSwap;
 use http::HeaderValue;
 use monsooncart_config::{routing, settings};
-use monsooncart_policy::{handle, leaving, outcome};
+use monsooncart_policy::{handle, leaving};
 use monsooncart_types::{id, map};
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 
 use crate::lock::lock;
 use crate::{
-    clock, decision, host_routing, interface, log_limiter, metrics, pool, response_sizes, trace,
+    clock, decision, host_routing, interface, log_limiter, metrics, pool, relay, response_sizes,
+    trace,
 };
 
 /// State shared by all parts of the request path.
@@ -43,6 +44,8 @@
     /// Whether the daemon is draining.
     pub draining: watch::Sender<bool>,
     leaving_runs: Mutex<leaving::Runs>,
+    /// Connections to daemons that relay requests.
+    pub relays: relay::Peers,
     /// Cancelled when requests without a response are abandoned.
     pub abandoned: CancellationToken,
     /// Distinguishes the attempts of this process from those of any other.
@@ -105,6 +108,7 @@
             traces: trace::Ring::default(),
             draining: watch::Sender::new(false),
             leaving_runs: Mutex::default(),
+            relays: relay::Peers::default(),
             abandoned: CancellationToken::new(),
             nonce,
             next_request_number: AtomicU64::new(process_bits << SEQUENCE_BITS),
@@ -178,9 +182,4 @@
         }
         self.draining.send_replace(true);
     }
-
-    /// Counts a finished attempt.
-    pub fn count_attempt(&self, service: &id::Service, outcome: outcome::Outcome) {
-        self.metrics.record_attempt(service, outcome);
-    }
 }
--- a/crates/proxy/src/decision.rs
+++ b/crates/proxy/src/decision.rs
@@ -29,6 +29,10 @@
     Denied,
     /// A server was restored.
     Restored,
+    /// The path to the servers was lost.
+    PathLost,
+    /// The path to the servers is there again.
+    PathRegained,
     /// A server is leaving.
     Leaving,
     /// A poison request is refused across the fleet.
--- a/crates/proxy/src/engine.rs
+++ b/crates/proxy/src/engine.rs
@@ -13,9 +13,10 @@
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
 use tokio::time::{MissedTickBehavior, interval};
+use tokio_util::task::TaskTracker;
 
 use crate::lock::lock;
-use crate::{common, decision, listener, router, service, split, trace};
+use crate::{common, decision, listener, relay, request, router, service, split, trace};
 
 /// Number of shards that the services are divided into.
 const SHARDS: usize = 16;
@@ -23,6 +24,9 @@
 /// Ticks between scans for expired idle connections.
 const REAP_INTERVAL_TICKS: u64 = 16;
 
+/// Maximum number of connections over which other daemons have requests relayed.
+const MAX_RELAYED_CONNECTIONS: usize = 1024;
+
 type Services = map::Map<id::Service, Arc<service::Service>>;
 
 /// A subset of the services whose policies are ticked by one task.
@@ -40,6 +44,8 @@
     /// Distributes the requests of a route over its services.
     pub splitter: split::Splitter,
     shards: Vec<Shard>,
+    /// Connections over which other daemons have requests relayed.
+    pub relayed_connections: TaskTracker,
     /// Serialises configuration changes.
     config_lock: Mutex<()>,
 }
@@ -91,6 +97,7 @@
             router: ArcSwap::default(),
             splitter: split::Splitter::default(),
             shards,
+            relayed_connections: TaskTracker::new(),
             config_lock: Mutex::default(),
         });
         for activation_receiver in activation_receivers {
@@ -227,6 +234,15 @@
         known.handle_event(event::Event::Evidence { from, digests });
     }
 
+    /// Checks the path to the servers of a service, since another daemon has lost its own.
+    pub fn check_path(&self, service: &id::Service) {
+        let known = self.shared.service(service);
+        // Without local traffic there is no decision that the path could influence.
+        if let Some(known) = known.filter(|known| known.is_active()) {
+            known.handle_event(event::Event::PeerPathLost);
+        }
+    }
+
     /// Records that a request sent by another daemon crashed a server.
     pub fn record_crash(
         &self,
@@ -346,6 +362,18 @@
         usize::try_from(count).unwrap_or_default()
     }
 
+    /// Serves a connection over which another daemon has requests relayed, until it closes. A planned
+    /// stop waits for the requests in flight on it.
+    pub async fn serve_relay<S: relay::Stream + 'static>(&self, stream: S) {
+        let connections = &self.shared.relayed_connections;
+        if connections.is_closed() || connections.len() >= MAX_RELAYED_CONNECTIONS {
+            return;
+        }
+        let serving =
+            listener::serve_connection(self.shared.clone(), stream, request::Origin::Relay);
+        connections.track_future(serving).await;
+    }
+
     /// Serves callers until `stop` resolves, then waits without a time limit for the requests in
     /// flight to complete.
     pub fn serve<S: Future + Send + 'static>(
--- a/crates/proxy/src/exchange.rs
+++ b/crates/proxy/src/exchange.rs
@@ -1,5 +1,7 @@
 //! One exchange with a backend server, up to the response head.
 
+pub mod relayed;
+
 use std::collections::VecDeque;
 use std::error::Error as _;
 use std::io;
@@ -27,7 +29,6 @@
 
 /// Parameters of an exchange.
 pub struct Call {
-    pub server: Arc<server::Server>,
     /// Whether the connection must be new or within the pool's freshness window.
     pub fresh_connection: bool,
     /// Request head without the headers of the attempt.
@@ -107,63 +108,79 @@
 pub async fn run(
     common: &common::Common,
     call: &Call,
+    server: &server::Server,
     attempt: &attempt::Attempt,
 ) -> Result<Reply, Failure> {
-    if let Some(connection) = take_pooled(common, call) {
-        match exchange_on(common, call, attempt, connection).await {
+    if let Some(connection) = take_pooled(common, call, server) {
+        match exchange_on(common, call, server, attempt, connection).await {
             // The server closed the pooled connection before anything was sent: retry on a new one.
             Err(failure) if failure.outcome == outcome::Outcome::Unsent && call.revoke_body() => {}
             result => return result,
         }
     }
-    let connection = connect(common, call).await?;
-    exchange_on(common, call, attempt, connection).await
+    let connection = connect(common, call, server).await?;
+    exchange_on(common, call, server, attempt, connection).await
 }
 
-async fn exchange_on(
-    common: &common::Common,
+/// Sends a request on a connection and waits for the response head.
+///
+/// # Errors
+///
+/// If there is no response; the outcome says whether a byte of the request was sent.
+async fn send(
     call: &Call,
-    attempt: &attempt::Attempt,
-    mut connection: link::Connection,
-) -> Result<Reply, Failure> {
-    let spec = &call.server.spec;
-    if common.is_leaving(&spec.name, spec.started_millis) {
-        // It was not known to be leaving when it was chosen.
-        return Err(outcome::Outcome::Removed.into());
-    }
-    let mut tracker = SendTracker {
+    connection: &mut link::Connection,
+    request: http::Request<payload::Payload>,
+) -> Result<(http::Response<Incoming>, SendTracker), Failure> {
+    let tracker = SendTracker {
         gate: connection.gate.clone(),
         written_bytes_before: connection.gate.written_bytes(),
         possibly_sent: call.possibly_sent.clone(),
         refused: false,
     };
-    let sending = connection
-        .sender
-        .try_send_request(call.build_request(common.host_headers.as_ref()));
+    let sending = connection.sender.try_send_request(request);
     // If this future is dropped, `tracker` reads the byte count before the connection is closed.
     // This guard blocks writes first, so that the count is final.
     let gate_closer = GateCloser(&tracker.gate);
     let result = wait_for_head(sending, call).await;
     std::mem::forget(gate_closer);
-    let response = match result {
-        Some(Ok(response)) => response,
-        Some(Err(error)) => return Err(classify_send_error(&tracker, call, &error).into()),
-        None if tracker.close_gate() => return Err(outcome::Outcome::Timeout.into()),
-        None => return Err(outcome::Outcome::Unsent.into()),
-    };
+    match result {
+        Some(Ok(response)) => Ok((response, tracker)),
+        Some(Err(error)) => Err(classify_send_error(&tracker, call, &error).into()),
+        None if tracker.close_gate() => Err(outcome::Outcome::Timeout.into()),
+        None => Err(outcome::Outcome::Unsent.into()),
+    }
+}
+
+async fn exchange_on(
+    common: &common::Common,
+    call: &Call,
+    server: &server::Server,
+    attempt: &attempt::Attempt,
+    mut connection: link::Connection,
+) -> Result<Reply, Failure> {
+    let spec = &server.spec;
+    if common.is_leaving(&spec.name, spec.started_millis) {
+        // It was not known to be leaving when it was chosen.
+        return Err(outcome::Outcome::Removed.into());
+    }
+    let request = call.build_request(common.host_headers.as_ref(), Some(server));
+    let connected_at = connection.opened_at;
+    let (response, mut tracker) = send(call, &mut connection, request).await?;
+    attempt.report_response(connected_at);
     let (head, rest) = response.into_parts();
     if !matches_attempt(common, &head, &call.correlation_id) {
         return Err(outcome::Outcome::Garbled.into());
     }
     let refusal = parse_refusal(common, &head);
     if refusal.is_none_or(|failure| failure.outcome != outcome::Outcome::Misdirected) {
-        announcement::report(common, &call.server, attempt, &head);
+        announcement::report(common, server, attempt, &head);
     }
     if let Some(failure) = refusal {
         tracker.refused = true;
         // A server that refuses work is loaded; reuse its connection if the exchange is complete.
         if call.request_body.is_complete() && rest.is_end_stream() && !closes_connection(&head) {
-            call.server.pool.put(connection, common.clock.now());
+            server.pool.put(connection, common.clock.now());
         }
         return Err(failure);
     }
@@ -215,7 +232,11 @@
 }
 
 /// Takes a suitable idle connection from the pool.
-fn take_pooled(common: &common::Common, call: &Call) -> Option<link::Connection> {
+fn take_pooled(
+    common: &common::Common,
+    call: &Call,
+    server: &server::Server,
+) -> Option<link::Connection> {
     if call.deadline <= Instant::now() {
         return None;
     }
@@ -224,14 +245,18 @@
             .pool
             .freshness_window
             .filter(|window| !window.is_zero())?;
-        return call.server.pool.take(common.clock.now(), window);
+        return server.pool.take(common.clock.now(), window);
     }
-    call.server
+    server
         .pool
         .take(common.clock.now(), common.pool.idle_timeout)
 }
 
-async fn connect(common: &common::Common, call: &Call) -> Result<link::Connection, Failure> {
+async fn connect(
+    common: &common::Common,
+    call: &Call,
+    server: &server::Server,
+) -> Result<link::Connection, Failure> {
     let now = common.clock.now();
     if call.deadline <= Instant::now() {
         // The deadline has passed, which is no evidence about the server.
@@ -242,7 +267,7 @@
     let ack_timeout = common.ack_timeout();
     let opening = link::Connection::open(
         common.pool.local_address,
-        call.server.spec.address,
+        server.spec.address,
         ack_timeout,
         now,
     );
@@ -257,7 +282,7 @@
         .with_label_values(&[connect_failure_label(&error)])
         .inc();
     if common.log_limiter.admits(std::time::Instant::now()) {
-        let server = &call.server.spec;
+        let server = &server.spec;
         let millis = started_at.elapsed().as_millis();
         log::info!(server:% = server.name, address:% = server.address, millis, error:%; "pool: could not connect to server");
     }
@@ -274,9 +299,11 @@
 }
 
 impl Call {
+    /// Builds the request for a server, or for a relay if there is none.
     fn build_request(
         &self,
         host_headers: Option<&host_routing::HeaderNames>,
+        server: Option<&server::Server>,
     ) -> http::Request<payload::Payload> {
         let mut request = http::Request::new(self.request_body.payload());
         *request.method_mut() = self.head.method.clone();
@@ -289,8 +316,9 @@
             // The caller's request id is among the forwarded headers and identifies the attempt.
             Some(host_headers) => {
                 headers.insert(&host_headers.deadline, remaining_millis.into());
-                if let Ok(server) = HeaderValue::from_str(self.server.spec.name.as_str()) {
-                    headers.insert(&host_headers.server, server);
+                let name = server.map(|server| HeaderValue::from_str(server.spec.name.as_str()));
+                if let Some(Ok(name)) = name {
+                    headers.insert(&host_headers.server, name);
                 }
             }
             None => {
@@ -404,9 +432,7 @@
 
 /// Interprets a response as a refusal by the fleet's own headers.
 fn parse_fleet_refusal(head: &http::response::Parts) -> Option<Failure> {
-    let not_run = <&'static str>::from(OutcomeHeader::NotRun);
-    let is_not_run = |value: &HeaderValue| value == not_run;
-    let refused = head.headers.get(header::OUTCOME).is_some_and(is_not_run);
+    let refused = header::is_not_run(&head.headers);
     if head.status != http::StatusCode::SERVICE_UNAVAILABLE || !refused {
         return None;
     }
--- /dev/null
+++ b/crates/proxy/src/exchange/relayed.rs
@@ -0,0 +1,105 @@
+//! An exchange with a daemon that relays the request.
+
+use std::sync::Arc;
+
+use http::header as names;
+use monsooncart_policy::outcome;
+use tokio::time::{Instant, timeout_at};
+
+use super::{Call, Failure, Reply, buffer_body, closes_connection, matches_attempt, send};
+use crate::{common, header, link, relay};
+
+/// Has `peer` send a request to at most `max_attempts` servers, and waits for the response.
+///
+/// # Errors
+///
+/// If there is no response to forward. The relay states whether a request that it refused may have
+/// run; without its response, one of which a byte was sent may have.
+pub async fn run(
+    common: &common::Common,
+    call: &Call,
+    peer: &Arc<relay::Peer>,
+    max_attempts: u32,
+) -> Result<Reply, Failure> {
+    let now = common.clock.now();
+    if let Some(connection) = peer.pool.take(now, common.pool.idle_timeout) {
+        match exchange_on(common, call, peer, max_attempts, connection).await {
+            // The relay closed the pooled connection before anything was sent: retry on a new one.
+            Err(failure) if failure.outcome == outcome::Outcome::Unsent && call.revoke_body() => {}
+            result => return result,
+        }
+    }
+    let connection = connect(common, call, peer).await?;
+    exchange_on(common, call, peer, max_attempts, connection).await
+}
+
+async fn connect(
+    common: &common::Common,
+    call: &Call,
+    peer: &relay::Peer,
+) -> Result<link::Connection, Failure> {
+    let opened_at = common.clock.now();
+    let deadline = call
+        .deadline
+        .min(Instant::now() + common.pool.connect_timeout);
+    let opening = async {
+        let stream = common.fleet.open_relay(peer.instance).await?;
+        link::Connection::over(stream, common.ack_timeout(), opened_at).await
+    };
+    let error = match timeout_at(deadline, opening).await {
+        Ok(Ok(connection)) => return Ok(connection),
+        Ok(Err(error)) => error,
+        Err(_) => std::io::ErrorKind::TimedOut.into(),
+    };
+    log::info!(relay:% = peer.name, error:%; "path: could not connect to relay");
+    Err(outcome::Outcome::Unsent.into())
+}
+
+async fn exchange_on(
+    common: &common::Common,
+    call: &Call,
+    peer: &relay::Peer,
+    max_attempts: u32,
+    mut connection: link::Connection,
+) -> Result<Reply, Failure> {
+    let mut request = call.build_request(common.host_headers.as_ref(), None);
+    request
+        .headers_mut()
+        .insert(relay::HEADER, max_attempts.into());
+    let (response, mut tracker) = send(call, &mut connection, request).await?;
+    let (head, rest) = response.into_parts();
+    let responder = head.headers.get(relay::HEADER);
+    let responder = responder.and_then(|value| value.to_str().ok()?.parse().ok());
+    match responder {
+        Some(relay::Responder::Server) if matches_attempt(common, &head, &call.correlation_id) => {}
+        Some(relay::Responder::Relay) => {
+            if header::is_not_run(&head.headers) {
+                tracker.refused = true;
+                if rest_is_complete(call, &rest) && !closes_connection(&head) {
+                    peer.pool.put(connection, common.clock.now());
+                }
+                return Err(Failure {
+                    outcome: outcome::Outcome::Shed { leaving: false },
+                    retry_after: header::parse_retry_after(&head.headers),
+                });
+            }
+        }
+        _ => return Err(outcome::Outcome::Garbled.into()),
+    }
+    let mut reply = Reply {
+        connection: Some(connection),
+        head,
+        prefix: std::collections::VecDeque::new(),
+        rest,
+    };
+    reply.head.headers.remove(relay::HEADER);
+    reply.head.headers.remove(names::CONNECTION);
+    buffer_body(&mut reply, call.deadline).await?;
+    Ok(reply)
+}
+
+/// Whether neither side has more of its body to send.
+fn rest_is_complete(call: &Call, rest: &hyper::body::Incoming) -> bool {
+    use http_body::Body as _;
+    call.request_body.is_complete() && rest.is_end_stream()
+}
--- a/crates/proxy/src/forwarded.rs
+++ b/crates/proxy/src/forwarded.rs
@@ -12,7 +12,7 @@
 use monsooncart_policy::outcome;
 use tokio::time::{Instant, Sleep, sleep_until};
 
-use crate::{account, activity, attempt, common, exchange, link, payload, server, stall};
+use crate::{account, activity, attempt, common, exchange, link, payload, stall, target};
 
 /// A truncated response; hyper ends the caller's connection with an error.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, derive_more::Display, derive_more::Error)]
@@ -25,7 +25,7 @@
 /// State that lives as long as the response.
 pub struct Parts {
     pub common: Arc<common::Common>,
-    pub server: Arc<server::Server>,
+    pub target: target::Target,
     /// The attempt, unless its result was already reported.
     pub attempt: Option<attempt::Attempt>,
     pub account: account::Account,
@@ -85,7 +85,8 @@
         if let Some(connection) = self.connection.take()
             && parts.request_body.is_complete()
         {
-            parts.server.pool.put(connection, parts.common.clock.now());
+            let now = parts.common.clock.now();
+            parts.target.pool().put(connection, now);
         }
         parts.account.mark_complete();
         let outcome = outcome::Outcome::Answered(self.status);
--- a/crates/proxy/src/header.rs
+++ b/crates/proxy/src/header.rs
@@ -4,6 +4,8 @@
 
 use http::header::{self, HeaderMap, HeaderName};
 
+use crate::exchange;
+
 /// Request number, on every response.
 pub const REQUEST: HeaderName = HeaderName::from_static("monsooncart-request");
 
@@ -77,6 +79,12 @@
     }
 }
 
+/// Whether the fleet's outcome header says that the request was not run.
+pub fn is_not_run(headers: &HeaderMap) -> bool {
+    let not_run = <&'static str>::from(exchange::OutcomeHeader::NotRun);
+    headers.get(OUTCOME).is_some_and(|value| value == not_run)
+}
+
 /// Whether a header has the value `true`.
 pub fn is_true(headers: &HeaderMap, name: &HeaderName) -> bool {
     headers.get(name).is_some_and(|value| value == "true")
--- a/crates/proxy/src/interface.rs
+++ b/crates/proxy/src/interface.rs
@@ -1,13 +1,16 @@
 //! Traits through which the request path uses the rest of the daemon.
 
+use std::io;
 use std::net;
 use std::time::Duration;
 
 use futures_util::future::BoxFuture;
 use monsooncart_policy::claims::{claim, ticket};
-use monsooncart_policy::{handle, outcome, service};
+use monsooncart_policy::{handle, inventory, outcome, service};
 use monsooncart_types::{id, instance, rate};
 
+use crate::relay;
+
 /// An address at which callers can reach the fleet.
 #[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct Entry {
@@ -63,6 +66,31 @@
 
     /// Returns the daemons that share a service's traffic, in ascending order.
     fn daemons(&self, service: &id::Service) -> Vec<instance::Instance>;
+
+    /// Returns the daemons that can relay requests for a service, sorted by instance.
+    fn relays(&self, _service: &id::Service) -> Vec<inventory::Relay> {
+        Vec::new()
+    }
+
+    /// Returns the name of a daemon's VM; `None` if the daemon is unknown.
+    fn vm(&self, _daemon: instance::Instance) -> Option<id::Vm> {
+        None
+    }
+
+    /// Opens a connection over which another daemon relays requests.
+    ///
+    /// # Errors
+    ///
+    /// If the daemon is unknown, cannot be reached or does not relay.
+    fn open_relay(
+        &self,
+        _daemon: instance::Instance,
+    ) -> BoxFuture<'_, io::Result<Box<dyn relay::Stream>>> {
+        Box::pin(std::future::ready(Err(io::ErrorKind::Unsupported.into())))
+    }
+
+    /// Reports to the fleet whether this daemon has lost its path to the servers of a service.
+    fn report_path(&self, _service: &id::Service, _lost: bool) {}
 }
 
 /// Decides claims on tickets, so that the unrepeatable work of a ticket runs at most once.
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod host_routing;
 pub mod interface;
 pub mod pool;
+pub mod relay;
 pub mod split;
 pub mod trace;
 
@@ -50,3 +51,4 @@
 mod service;
 mod socket;
 mod stall;
+mod target;
--- a/crates/proxy/src/link.rs
+++ b/crates/proxy/src/link.rs
@@ -1,4 +1,4 @@
-//! A connection to a backend server, which carries one exchange at a time.
+//! A connection to a backend server or a relay, which carries one exchange at a time.
 
 use std::io;
 use std::net;
@@ -8,6 +8,7 @@
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
 use monsooncart_types::time;
+use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::task;
 
 use crate::{gate, payload, socket};
@@ -15,7 +16,7 @@
 /// Maximum size of a response head, and of hyper's read and write buffers.
 const MAX_BUFFER_BYTES: usize = 128 << 10;
 
-/// A connection to a server; closed on drop.
+/// A connection to a server or a relay; closed on drop.
 #[derive(Debug)]
 pub struct Connection {
     pub sender: http1::SendRequest<payload::Payload>,
@@ -37,7 +38,21 @@
         ack_timeout: Duration,
         now: time::Time,
     ) -> io::Result<Self> {
-        let socket = socket::Socket::open(from, address, ack_timeout).await?;
+        let stream = socket::connect(from, address, ack_timeout).await?;
+        Self::over(stream, ack_timeout, now).await
+    }
+
+    /// Starts HTTP over a stream that is open already; writes that make no progress for `ack_timeout`
+    /// fail.
+    ///
+    /// # Errors
+    ///
+    /// If hyper cannot use the stream. No byte of a request was sent then.
+    pub async fn over<S>(stream: S, ack_timeout: Duration, now: time::Time) -> io::Result<Self>
+    where
+        S: AsyncRead + AsyncWrite + Unpin + Send + 'static,
+    {
+        let socket = socket::Socket::new(stream, ack_timeout);
         let gate = socket.gate();
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(MAX_BUFFER_BYTES)
--- a/crates/proxy/src/listener.rs
+++ b/crates/proxy/src/listener.rs
@@ -8,7 +8,7 @@
 use hyper_util::server::conn::auto;
 use hyper_util::service::TowerToHyperService;
 use monsooncart_config::settings;
-use tokio::io::AsyncWriteExt as _;
+use tokio::io::{AsyncRead, AsyncWrite, AsyncWriteExt as _};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tokio::time::{Instant, sleep, sleep_until, timeout};
@@ -88,6 +88,8 @@
     drop(listener);
     tracker.close();
     tracker.wait().await;
+    shared.relayed_connections.close();
+    shared.relayed_connections.wait().await;
     log::info!("proxy: all connections from callers are closed");
 }
 
@@ -99,7 +101,7 @@
 ) {
     let shared = shared.clone();
     match permits.clone().try_acquire_owned() {
-        Ok(permit) => tracker.spawn(serve_connection(shared, stream, permit)),
+        Ok(permit) => tracker.spawn(serve_caller(shared, stream, permit)),
         Err(_) => {
             shared.common.metrics.connections_refused.inc();
             tracker.spawn(refuse_connection(stream))
@@ -176,23 +178,34 @@
     }
 }
 
-async fn serve_connection(
+async fn serve_caller(
     shared: Arc<engine::Shared>,
     stream: TcpStream,
     permit: OwnedSemaphorePermit,
 ) {
     let common = shared.common.clone();
     common.metrics.connections.inc();
-    let limits = common.limits();
-    if let Err(error) = socket::set_options(&stream, limits.body_timeout.0) {
+    if let Err(error) = socket::set_options(&stream, common.limits().body_timeout.0) {
         log::debug!(error:%; "proxy: setting TCP options of a connection failed");
     }
+    serve_connection(shared, stream, request::Origin::Caller).await;
+    common.metrics.connections.dec();
+    drop(permit);
+}
+
+/// Serves a connection until it closes.
+pub async fn serve_connection<S>(shared: Arc<engine::Shared>, stream: S, origin: request::Origin)
+where
+    S: AsyncRead + AsyncWrite + Unpin + Send + 'static,
+{
+    let common = shared.common.clone();
+    let limits = common.limits();
     let activity = Arc::new(activity::Activity::new());
     let io = caller::Socket::new(stream, activity.clone(), limits.body_timeout.0);
     let service = tower::service_fn({
         let (shared, activity) = (shared.clone(), activity.clone());
         move |request| {
-            let response = request::handle(shared.clone(), activity.clone(), request);
+            let response = request::handle(shared.clone(), activity.clone(), origin, request);
             async move { Ok::<_, std::convert::Infallible>(response.await) }
         }
     });
@@ -227,8 +240,6 @@
             _ = draining.changed() => {}
         }
     }
-    common.metrics.connections.dec();
-    drop(permit);
 }
 
 fn http_builder(max_head_bytes: usize) -> auto::Builder<TokioExecutor> {
--- a/crates/proxy/src/metrics.rs
+++ b/crates/proxy/src/metrics.rs
@@ -19,6 +19,10 @@
     requests: IntCounterVec,
     durations: HistogramVec,
     attempts: IntCounterVec,
+    paths_lost: IntCounterVec,
+    relayed: IntCounterVec,
+    /// Requests that were received from other daemons to be relayed.
+    pub received_for_relay: IntCounter,
     /// Requests rejected before their service was resolved, by status.
     pub rejections: IntCounterVec,
     pub in_flight: IntGauge,
@@ -85,6 +89,20 @@
                 "Attempts that ended, by service and end.",
                 &["service", "end"],
             )?,
+            paths_lost: counters(
+                "monsooncart_paths_lost_total",
+                "Times that the path to the servers of a service was lost.",
+                &["service"],
+            )?,
+            relayed: counters(
+                "monsooncart_relayed_attempts_total",
+                "Attempts at having another daemon relay a request, by service and end.",
+                &["service", "end"],
+            )?,
+            received_for_relay: counter(
+                "monsooncart_requests_received_for_relay_total",
+                "Requests that were received from other daemons to be relayed.",
+            )?,
             rejections: counters(
                 "monsooncart_rejections_total",
                 "Requests refused before a server was sought, by status.",
@@ -122,21 +140,21 @@
         })
     }
 
+    /// Counts a lost path to the servers of a service.
+    pub fn count_lost_path(&self, service: &id::Service) {
+        self.paths_lost.with_label_values(&[service.as_str()]).inc();
+    }
+
+    /// Counts a finished attempt at having another daemon relay a request.
+    pub fn record_relayed_attempt(&self, service: &id::Service, outcome: outcome::Outcome) {
+        self.relayed
+            .with_label_values(&[service.as_str(), outcome_label(outcome)])
+            .inc();
+    }
+
     pub fn record_attempt(&self, service: &id::Service, outcome: outcome::Outcome) {
-        let label = match outcome {
-            outcome::Outcome::Answered(status) if status < 500 => "answered",
-            outcome::Outcome::Answered(_) | outcome::Outcome::Failed(_) => "error",
-            outcome::Outcome::Shed { .. } => "shed",
-            outcome::Outcome::Misdirected => "misdirected",
-            outcome::Outcome::Unsent => "unsent",
-            outcome::Outcome::Removed => "removed",
-            outcome::Outcome::Broken => "broken",
-            outcome::Outcome::Timeout => "timeout",
-            outcome::Outcome::Garbled => "garbled",
-            outcome::Outcome::Cancelled => "cancelled",
-        };
         self.attempts
-            .with_label_values(&[service.as_str(), label])
+            .with_label_values(&[service.as_str(), outcome_label(outcome)])
             .inc();
     }
 
@@ -149,3 +167,19 @@
             .inc();
     }
 }
+
+/// Label of the outcome of an attempt.
+fn outcome_label(outcome: outcome::Outcome) -> &'static str {
+    match outcome {
+        outcome::Outcome::Answered(status) if status < 500 => "answered",
+        outcome::Outcome::Answered(_) | outcome::Outcome::Failed(_) => "error",
+        outcome::Outcome::Shed { .. } => "shed",
+        outcome::Outcome::Misdirected => "misdirected",
+        outcome::Outcome::Unsent => "unsent",
+        outcome::Outcome::Removed => "removed",
+        outcome::Outcome::Broken => "broken",
+        outcome::Outcome::Timeout => "timeout",
+        outcome::Outcome::Garbled => "garbled",
+        outcome::Outcome::Cancelled => "cancelled",
+    }
+}
--- a/crates/proxy/src/pass.rs
+++ b/crates/proxy/src/pass.rs
@@ -8,18 +8,19 @@
 use futures_util::stream::FuturesUnordered;
 use http::{HeaderValue, StatusCode, header as names};
 use monsooncart_policy::{action, event, handle, outcome};
-use monsooncart_types::map;
+use monsooncart_types::{id, map};
 use tokio::time::{Instant, sleep_until};
 
 use crate::{
     account, activity, attempt, body, common, decision, exchange, forwarded, header, payload,
-    problem, response_sizes, server, service, trace,
+    problem, relay, response_sizes, server, service, target, trace,
 };
 
 struct FinishedAttempt {
     id: handle::Attempt,
-    grounds: action::Grounds,
-    server: Arc<server::Server>,
+    /// What the choice of the target was based on, as text.
+    grounds: String,
+    target: target::Target,
     started_millis: u64,
     result: Result<(exchange::Reply, attempt::Attempt), FailedAttempt>,
 }
@@ -93,11 +94,7 @@
                         // policy demands it. Dropping the attempt reports it as cancelled.
                         attempt::Attempt::new(self.service.clone(), attempt);
                         drop(attempts);
-                        return self.refuse(outcome::Refusal {
-                            reason: outcome::Reason::Unknown,
-                            execution: outcome::Execution::Unknown,
-                            retry_after: None,
-                        });
+                        return self.refuse_unknown();
                     }
                     service::Command::Send { attempt, server, fresh_connection, grounds } => {
                         queued.finish();
@@ -107,6 +104,18 @@
                         let future = self.start_attempt(attempt, server, fresh_connection, grounds);
                         attempts.push(Abortable::new(future, registration));
                     }
+                    service::Command::Relay { attempt, .. } if !self.may_send(&attempts) => {
+                        attempt::Attempt::relayed(self.service.clone(), attempt);
+                        drop(attempts);
+                        return self.refuse_unknown();
+                    }
+                    service::Command::Relay { attempt, peer, max_attempts } => {
+                        queued.finish();
+                        let (abort_handle, registration) = AbortHandle::new_pair();
+                        abort_handles.insert(attempt, abort_handle);
+                        let future = self.start_relayed_attempt(attempt, peer, max_attempts);
+                        attempts.push(Abortable::new(future, registration));
+                    }
                     service::Command::Cancel(attempt) => {
                         if let Some(abort_handle) = abort_handles.remove(&attempt) {
                             abort_handle.abort();
@@ -156,17 +165,9 @@
         );
     }
 
-    fn start_attempt(
-        &mut self,
-        id: handle::Attempt,
-        server: Arc<server::Server>,
-        fresh_connection: bool,
-        grounds: action::Grounds,
-    ) -> BoxFuture<'static, FinishedAttempt> {
-        self.account.start_attempt(&server.spec.name);
-        let started_millis = self.account.elapsed_millis();
-        let call = exchange::Call {
-            server: server.clone(),
+    /// Parameters of the next exchange.
+    fn call(&self, fresh_connection: bool) -> exchange::Call {
+        exchange::Call {
             fresh_connection,
             head: self.head.clone(),
             request_body: self.request_body.clone(),
@@ -179,27 +180,32 @@
             buffer_prefix: self.repeatable && self.request_body.is_intact(),
             repeatable: self.repeatable,
             possibly_sent: self.account.possibly_sent(),
-        };
+        }
+    }
+
+    fn start_attempt(
+        &mut self,
+        id: handle::Attempt,
+        server: Arc<server::Server>,
+        fresh_connection: bool,
+        grounds: action::Grounds,
+    ) -> BoxFuture<'static, FinishedAttempt> {
+        self.account.start_attempt(&server.spec.name);
+        let started_millis = self.account.elapsed_millis();
+        let call = self.call(fresh_connection);
         let common = self.common.clone();
         let service = self.service.clone();
         let reporter = attempt::Attempt::new(service.clone(), id);
         let retries_errors = self.common.host_headers.is_some() && self.repeatable;
         Box::pin(async move {
-            let result = exchange::run(&common, &call, &reporter).await;
+            let result = exchange::run(&common, &call, &server, &reporter).await;
             let result = match result {
                 Ok(reply) => {
                     if header::is_true(&reply.head.headers, &header::LEAVING) {
                         service.report_leaving(&server);
                     }
-                    let status = reply.head.status.as_u16();
-                    if retries_errors
-                        && status >= MIN_SERVER_ERROR_STATUS
-                        && reply.is_fully_buffered()
-                    {
-                        let outcome = outcome::Outcome::Failed(status);
-                        reporter.finish(outcome, call.is_replayable(), None);
-                        let error = Some(Box::new(reply));
-                        Err(FailedAttempt { outcome, error })
+                    if retries_errors && is_retryable_error(&reply) {
+                        Err(withhold_error(reply, reporter, &call))
                     } else {
                         Ok((reply, reporter))
                     }
@@ -219,8 +225,49 @@
             };
             FinishedAttempt {
                 id,
-                grounds,
-                server,
+                grounds: grounds.to_string(),
+                target: target::Target::Server(server),
+                started_millis,
+                result,
+            }
+        })
+    }
+
+    fn start_relayed_attempt(
+        &mut self,
+        id: handle::Attempt,
+        peer: Arc<relay::Peer>,
+        max_attempts: u32,
+    ) -> BoxFuture<'static, FinishedAttempt> {
+        let started_millis = self.account.elapsed_millis();
+        let call = self.call(false);
+        let common = self.common.clone();
+        let service = self.service.clone();
+        let reporter = attempt::Attempt::relayed(service.clone(), id);
+        let repeatable = self.repeatable;
+        Box::pin(async move {
+            let result = match exchange::relayed::run(&common, &call, &peer, max_attempts).await {
+                Ok(reply) => {
+                    report_relayed_leaving(&common, &service, &reply.head.headers);
+                    if repeatable && is_retryable_error(&reply) {
+                        Err(withhold_error(reply, reporter, &call))
+                    } else {
+                        Ok((reply, reporter))
+                    }
+                }
+                Err(failure) => {
+                    let replayable = call.is_replayable();
+                    reporter.finish(failure.outcome, replayable, failure.retry_after);
+                    Err(FailedAttempt {
+                        outcome: failure.outcome,
+                        error: None,
+                    })
+                }
+            };
+            FinishedAttempt {
+                id,
+                grounds: "relay".to_owned(),
+                target: target::Target::Relay(peer),
                 started_millis,
                 result,
             }
@@ -237,29 +284,31 @@
             Ok((reply, _)) => outcome::Outcome::Answered(reply.head.status.as_u16()),
             Err(failed) => failed.outcome,
         };
-        let name = &finished.server.spec.name;
-        self.account.finish_attempt(trace::Attempt {
-            server: name.clone(),
-            started_millis: finished.started_millis,
-            ended_millis: self.account.elapsed_millis(),
-            end: outcome.to_string(),
-            grounds: finished.grounds.to_string(),
-        });
+        let name = finished.target.name();
+        if let Some(server) = finished.target.server_name() {
+            self.account.finish_attempt(trace::Attempt {
+                server,
+                started_millis: finished.started_millis,
+                ended_millis: self.account.elapsed_millis(),
+                end: outcome.to_string(),
+                grounds: finished.grounds,
+            });
+        }
         match finished.result {
             Ok((reply, attempt)) => Some(ForwardableReply {
                 reply,
                 attempt: Some(attempt),
-                server: finished.server,
+                target: finished.target,
             }),
             Err(failed) => {
                 if let Some(reply) = failed.error {
                     *error_reply = Some(ForwardableReply {
                         reply: *reply,
                         attempt: None,
-                        server: finished.server.clone(),
+                        target: finished.target.clone(),
                     });
                 }
-                log::debug!(request = self.request.0, service:% = self.service.name, server:% = name, end:% = outcome; "proxy: attempt failed");
+                log::debug!(request = self.request.0, service:% = self.service.name, target = name, end:% = outcome; "proxy: attempt failed");
                 None
             }
         }
@@ -269,7 +318,7 @@
         let ForwardableReply {
             mut reply,
             mut attempt,
-            server,
+            target,
         } = forwardable;
         let status = reply.head.status;
         if reply.is_fully_buffered()
@@ -291,7 +340,7 @@
             let connection = reply.connection.take();
             connection
                 .into_iter()
-                .for_each(|connection| server.pool.put(connection, self.common.clock.now()));
+                .for_each(|connection| target.pool().put(connection, self.common.clock.now()));
         }
         let mut headers = reply.head.headers.clone();
         if headers.contains_key(names::TRANSFER_ENCODING) {
@@ -302,14 +351,17 @@
         if self.common.host_headers.is_none() {
             header::strip_fleet_headers(&mut headers);
         }
-        if let Ok(name) = HeaderValue::from_str(server.spec.name.as_str()) {
+        // A relay has named the server already.
+        if let target::Target::Server(server) = &target
+            && let Ok(name) = HeaderValue::from_str(server.spec.name.as_str())
+        {
             headers.insert(header::SERVER, name);
         }
         self.account
-            .record_response(&server.spec.name, status.as_u16());
+            .record_response(named_server(&headers), status.as_u16());
         let parts = forwarded::Parts {
             common: self.common.clone(),
-            server,
+            target,
             attempt,
             account: self.account,
             request_body: self.request_body,
@@ -340,6 +392,15 @@
         })
     }
 
+    /// Refuses a request that may have run and is not sent again.
+    fn refuse_unknown(self) -> http::Response<body::Body> {
+        self.refuse(outcome::Refusal {
+            reason: outcome::Reason::Unknown,
+            execution: outcome::Execution::Unknown,
+            retry_after: None,
+        })
+    }
+
     fn refuse(mut self, mut refusal: outcome::Refusal) -> http::Response<body::Body> {
         if self.account.execution() == outcome::Execution::Unknown {
             refusal.execution = outcome::Execution::Unknown;
@@ -383,6 +444,47 @@
     }
 }
 
+/// Whether a response is an error of the server that can be withheld while another server is tried.
+fn is_retryable_error(reply: &exchange::Reply) -> bool {
+    reply.head.status.as_u16() >= MIN_SERVER_ERROR_STATUS && reply.is_fully_buffered()
+}
+
+/// Reports an attempt as failed; its error is forwarded if no other attempt succeeds.
+fn withhold_error(
+    reply: exchange::Reply,
+    reporter: attempt::Attempt,
+    call: &exchange::Call,
+) -> FailedAttempt {
+    let outcome = outcome::Outcome::Failed(reply.head.status.as_u16());
+    reporter.finish(outcome, call.is_replayable(), None);
+    FailedAttempt {
+        outcome,
+        error: Some(Box::new(reply)),
+    }
+}
+
+/// Name of the server in the headers of a response.
+fn named_server(headers: &http::HeaderMap) -> Option<id::Server> {
+    headers.get(header::SERVER)?.to_str().ok()?.parse().ok()
+}
+
+/// Records that a server announced its leaving in a relayed response.
+fn report_relayed_leaving(
+    common: &common::Common,
+    service: &Arc<service::Service>,
+    headers: &http::HeaderMap,
+) {
+    let Some(host_headers) = &common.host_headers else {
+        return;
+    };
+    let is_leaving = headers
+        .get(&host_headers.leaving)
+        .is_some_and(|value| value == "1");
+    if let Some(server) = named_server(headers).filter(|_| is_leaving) {
+        service.report_relayed_leaving(&server);
+    }
+}
+
 /// Retry delay for a request that reached its deadline while queued.
 const DEADLINE_RETRY_AFTER: Duration = Duration::from_secs(1);
 
@@ -393,7 +495,7 @@
 struct ForwardableReply {
     reply: exchange::Reply,
     attempt: Option<attempt::Attempt>,
-    server: Arc<server::Server>,
+    target: target::Target,
 }
 
 /// Counts a request as queued until it is sent or dropped.
--- a/crates/proxy/src/pool.rs
+++ b/crates/proxy/src/pool.rs
@@ -101,6 +101,11 @@
         lock(&self.idle).retain(|i| i.connection.opened_at >= opened_before);
     }
 
+    /// Whether no idle connection is left.
+    pub fn is_empty(&self) -> bool {
+        lock(&self.idle).is_empty()
+    }
+
     /// Closes connections that exceeded the idle timeout or were closed by the server.
     pub fn close_expired(&self, now: time::Time) {
         lock(&self.idle).retain(|i| self.is_reusable(i, now));
--- a/crates/proxy/src/probe.rs
+++ b/crates/proxy/src/probe.rs
@@ -1,6 +1,7 @@
 //! Active health checks of servers.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::{BodyExt as _, Limited};
@@ -30,6 +31,25 @@
     }
 }
 
+/// Maximum time for a response to a probe of the path.
+const PATH_PROBE_TIMEOUT: Duration = Duration::from_millis(600);
+
+/// Whether the server responds at all on a new connection, however unhealthy it is; without a health
+/// path, whether it accepts the connection.
+pub async fn check_path(
+    common: &common::Common,
+    server: &server::Server,
+    path: Option<&str>,
+) -> bool {
+    let probe = async {
+        match path {
+            Some(path) => request_health(common, server, path).await.is_some(),
+            None => check_connect(common, server).await,
+        }
+    };
+    timeout(PATH_PROBE_TIMEOUT, probe).await.unwrap_or(false)
+}
+
 /// Whether the server accepts a connection.
 pub async fn check_connect(common: &common::Common, server: &server::Server) -> bool {
     let (probe_timeout, now) = (common.pool.probe_timeout, common.clock.now());
--- a/crates/proxy/src/request.rs
+++ b/crates/proxy/src/request.rs
@@ -16,7 +16,7 @@
 use monsooncart_types::time;
 use tokio::time::Instant;
 
-use crate::{account, activity, body, claim, engine, header, pass, problem};
+use crate::{account, activity, body, claim, engine, header, pass, problem, relay};
 
 const ENTRIES_PATH: &str = "/v1/entries";
 
@@ -24,10 +24,20 @@
 
 type Response = http::Response<body::Body>;
 
+/// Who sent a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Origin {
+    /// A caller.
+    Caller,
+    /// Another daemon, which has no path to the servers itself.
+    Relay,
+}
+
 /// Handles a request and returns its response.
 pub async fn handle(
     shared: Arc<engine::Shared>,
     activity: Arc<activity::Activity>,
+    origin: Origin,
     request: http::Request<Incoming>,
 ) -> Response {
     let number = shared.common.next_request();
@@ -45,6 +55,7 @@
     let handler = Handler {
         shared: &shared,
         number,
+        origin,
     };
     let mut response = match handler.respond(request, &mut in_flight).await {
         Ok(response) => response,
@@ -74,11 +85,19 @@
             reply.take();
         }
     }
+    let responder = match response.body() {
+        body::Body::Local(_) => relay::Responder::Relay,
+        body::Body::Forwarded(_) => relay::Responder::Server,
+    };
     let headers = response.headers_mut();
     if let Some(length) = length {
         headers.insert(names::CONTENT_LENGTH, length.into());
     }
     headers.insert(header::REQUEST, number.0.into());
+    if origin == Origin::Relay {
+        let responder: &'static str = responder.into();
+        headers.insert(relay::HEADER, HeaderValue::from_static(responder));
+    }
     if shared.common.is_draining() && version < http::Version::HTTP_2 {
         headers.insert(names::CONNECTION, HeaderValue::from_static("close"));
     }
@@ -89,17 +108,22 @@
 struct Handler<'a> {
     shared: &'a Arc<engine::Shared>,
     number: handle::Request,
+    origin: Origin,
 }
 
 impl Handler<'_> {
     async fn respond(
         &self,
-        request: http::Request<Incoming>,
+        mut request: http::Request<Incoming>,
         in_flight: &mut Option<activity::InFlight>,
     ) -> Result<Response, problem::Problem> {
         options::check_head(self.shared, &request)?;
         if let Some(host_headers) = &self.shared.common.host_headers {
-            let options = options::resolve_by_host(self.shared, host_headers, &request)?;
+            let mut options = options::resolve_by_host(self.shared, host_headers, &request)?;
+            if self.origin == Origin::Relay {
+                options.limit_attempts(request.headers_mut());
+                self.shared.common.metrics.received_for_relay.inc();
+            }
             return self.forward(request, options, None, in_flight).await;
         }
         let path = request.uri().path();
@@ -175,6 +199,7 @@
                 .map_or(0, |key| shared.common.response_sizes.mean(key)),
             deadline: self.policy_deadline(options.deadline),
             fingerprint: outbound::compute_fingerprint(&head, &request_body),
+            relayed: self.origin == Origin::Relay,
         };
         let Some(in_flight) = in_flight.take() else {
             // Unreachable: `handle` passes the guard, and only this function takes it.
--- a/crates/proxy/src/request/options.rs
+++ b/crates/proxy/src/request/options.rs
@@ -10,7 +10,7 @@
 use monsooncart_types::{id, size};
 use tokio::time::Instant;
 
-use crate::{engine, header, host_routing, problem, response_sizes, router};
+use crate::{engine, header, host_routing, problem, relay, response_sizes, router};
 
 /// Options of a request, resolved from its route, its caller and the configuration.
 pub struct Options {
@@ -40,6 +40,17 @@
     pub deadline: Instant,
 }
 
+impl Options {
+    /// Takes the number of attempts that the requesting daemon allows from the headers of a relayed
+    /// request.
+    pub fn limit_attempts(&mut self, headers: &mut http::HeaderMap) {
+        let allowed = header::parse_number(headers, &relay::HEADER);
+        headers.remove(relay::HEADER);
+        let allowed = allowed.and_then(|allowed| u32::try_from(allowed).ok());
+        self.max_attempts = self.max_attempts.min(allowed.unwrap_or(1));
+    }
+}
+
 const DEFAULT_MAX_ATTEMPTS: u32 = 4;
 
 /// Time by which a caller's deadline is shortened, so that the response reaches it in time.
--- a/crates/proxy/src/service.rs
+++ b/crates/proxy/src/service.rs
@@ -18,7 +18,7 @@
 use tokio::sync::mpsc;
 
 use crate::lock::lock;
-use crate::{common, pool, server};
+use crate::{common, pool, relay, server};
 
 /// Command of the policy for a pending request.
 #[derive(Debug)]
@@ -33,6 +33,14 @@
         /// What was known about the server when it was selected.
         grounds: action::Grounds,
     },
+    /// Have another daemon relay the request.
+    Relay {
+        /// Handle of the attempt.
+        attempt: handle::Attempt,
+        peer: Arc<relay::Peer>,
+        /// Maximum number of servers that it may send the request to.
+        max_attempts: u32,
+    },
     /// Cancel an attempt.
     Cancel(handle::Attempt),
     /// Refuse the request.
@@ -56,6 +64,8 @@
     actions: Vec<action::Action>,
     /// Daemons in the last inventory that the policy received.
     daemons: Vec<instance::Instance>,
+    /// Daemons that can relay requests, in the last inventory.
+    relays: Vec<inventory::Relay>,
 }
 
 pub struct Service {
@@ -183,6 +193,7 @@
                 rules::Detection::Careful => health::Sensitivity::Careful,
             },
             daemons: self.common.fleet.daemons(&self.name),
+            relays: self.common.fleet.relays(&self.name),
             unix_origin: self.common.clock.unix_origin(),
             latency_objective: spec.objective.latency.0,
         }
@@ -199,15 +210,16 @@
         lock(&self.state).is_some()
     }
 
-    /// Sends the inventory to the policy if the serving daemons changed.
+    /// Sends the inventory to the policy if the serving daemons or the relays changed.
     pub fn refresh_daemons(self: &Arc<Self>) {
         if !self.is_active() {
             return;
         }
         let daemons = self.common.fleet.daemons(&self.name);
+        let relays = self.common.fleet.relays(&self.name);
         let stale = lock(&self.state)
             .as_ref()
-            .is_some_and(|state| state.daemons != daemons);
+            .is_some_and(|state| state.daemons != daemons || state.relays != relays);
         if stale {
             self.send_inventory();
         }
@@ -257,7 +269,7 @@
         state.get_or_insert_with(|| {
             let mut policy = self.common.policies.create_policy(&self.name);
             let inventory = self.inventory();
-            let daemons = inventory.daemons.clone();
+            let (daemons, relays) = (inventory.daemons.clone(), inventory.relays.clone());
             let mut actions = Vec::new();
             let event = event::Event::Inventory(inventory);
             policy.handle(self.common.clock.now(), event, &mut actions);
@@ -267,6 +279,7 @@
                 attempts: map::Map::default(),
                 actions,
                 daemons,
+                relays,
             }
         })
     }
@@ -292,6 +305,7 @@
             let state = self.get_or_create_state(&mut state);
             if let event::Event::Inventory(inventory) = &event {
                 state.daemons.clone_from(&inventory.daemons);
+                state.relays.clone_from(&inventory.relays);
             }
             let mut events = VecDeque::from([event]);
             while let Some(event) = events.pop_front() {
@@ -361,6 +375,38 @@
                     retry_after: None,
                 });
             }
+            action::Action::Relay {
+                request,
+                attempt,
+                peer,
+                max_attempts,
+            } => {
+                let name = self.common.fleet.vm(peer);
+                let pending = state.pending.get(&request);
+                let sent = pending.zip(name).is_some_and(|(pending, name)| {
+                    let peer = self.common.relays.get(peer, &name, self.common.pool);
+                    let command = Command::Relay {
+                        attempt,
+                        peer,
+                        max_attempts,
+                    };
+                    pending.send(command).is_ok()
+                });
+                if sent {
+                    state.attempts.insert(attempt, request);
+                    return;
+                }
+                let is_pending = is_pending(state, request);
+                events.push_back(event::Event::Finish {
+                    attempt,
+                    outcome: match is_pending {
+                        true => outcome::Outcome::Unsent,
+                        false => outcome::Outcome::Cancelled,
+                    },
+                    replayable: is_pending,
+                    retry_after: None,
+                });
+            }
             action::Action::Refuse { request, refusal } => {
                 if let Some(pending) = state.pending.get(&request) {
                     // A closed channel means that the caller has disconnected.
@@ -383,8 +429,12 @@
     }
 
     /// Counts a finished attempt in the metrics.
-    pub fn count_attempt(&self, outcome: outcome::Outcome) {
-        self.common.count_attempt(&self.name, outcome);
+    pub fn count_attempt(&self, outcome: outcome::Outcome, relayed: bool) {
+        let metrics = &self.common.metrics;
+        match relayed {
+            true => metrics.record_relayed_attempt(&self.name, outcome),
+            false => metrics.record_attempt(&self.name, outcome),
+        }
     }
 
     /// Ticks the policy and, if `reap` is set, closes expired idle connections. Returns whether the
--- a/crates/proxy/src/service/deferred.rs
+++ b/crates/proxy/src/service/deferred.rs
@@ -83,6 +83,8 @@
                 }
             }
             action::Action::Probe(server) => self.spawn_probe(server),
+            action::Action::ProbePath(server) => self.spawn_path_probe(server),
+            action::Action::ReportPath { lost, evidence } => self.report_path(lost, evidence),
             _ => {}
         }
     }
@@ -108,6 +110,53 @@
         });
     }
 
+    fn spawn_path_probe(self: &Arc<Self>, handle: handle::Server) {
+        let active_config = self.active_config.load_full();
+        let Some(server) = active_config.servers.get(&handle).cloned() else {
+            return;
+        };
+        let service = self.clone();
+        tokio::spawn(async move {
+            let path = active_config.spec.health_path.as_deref();
+            let connected_at = service.common.clock.now();
+            let responded = crate::probe::check_path(&service.common, &server, path).await;
+            service.handle_event(event::Event::PathProbe {
+                server: handle,
+                connected_at: responded.then_some(connected_at),
+            });
+        });
+    }
+
+    /// Logs and publishes that the path to the servers is lost, or is there again.
+    fn report_path(&self, lost: bool, evidence: String) {
+        let common = &self.common;
+        let kind = match lost {
+            true => {
+                log::warn!(service:% = self.name, evidence; "path: lost the path to the servers; relaying requests through other daemons");
+                common.metrics.count_lost_path(&self.name);
+                decision::Kind::PathLost
+            }
+            false => {
+                log::info!(service:% = self.name, evidence; "path: the path to the servers is there again");
+                decision::Kind::PathRegained
+            }
+        };
+        common
+            .decisions
+            .push(kind, &self.name, None, None, evidence);
+        common.fleet.report_path(&self.name, lost);
+    }
+
+    /// Records that a server announced its leaving in a response that another daemon relayed.
+    pub fn report_relayed_leaving(self: &Arc<Self>, name: &id::Server) {
+        let active_config = self.active_config.load();
+        let handle = active_config.handles.get(name);
+        let server = handle.and_then(|handle| active_config.servers.get(handle));
+        if let Some(server) = server {
+            self.report_leaving(server);
+        }
+    }
+
     /// Records and publishes that a server announced that it is leaving.
     pub fn report_leaving(self: &Arc<Self>, server: &server::Server) {
         let (name, started_millis) = (&server.spec.name, server.spec.started_millis);
--- a/crates/proxy/src/service/pending.rs
+++ b/crates/proxy/src/service/pending.rs
@@ -45,7 +45,7 @@
 
     fn track_command(&mut self, command: Command) -> Command {
         match command {
-            Command::Send { .. } => self.open_attempts += 1,
+            Command::Send { .. } | Command::Relay { .. } => self.open_attempts += 1,
             Command::Refuse(_) => self.completed = true,
             Command::Cancel(_) => {}
         }
@@ -71,7 +71,7 @@
         // No further command can arrive; report the queued ones as cancelled.
         while let Ok(command) = self.commands.try_recv() {
             match command {
-                Command::Send { attempt, .. } => {
+                Command::Send { attempt, .. } | Command::Relay { attempt, .. } => {
                     self.open_attempts += 1;
                     self.service.handle_event(event::Event::Finish {
                         attempt,
--- a/crates/proxy/src/socket.rs
+++ b/crates/proxy/src/socket.rs
@@ -1,4 +1,4 @@
-//! The I/O stream of a connection to a backend server, as used by hyper.
+//! The I/O stream of a connection to a backend server or a relay, as used by hyper.
 
 use std::io;
 use std::net;
@@ -34,39 +34,44 @@
     socket.set_tcp_user_timeout(Some(user_timeout))
 }
 
-/// A TCP stream whose writes pass a gate and fail if they stall.
+/// Opens a TCP connection to a backend server, from the IP address `from` if there is one.
+///
+/// # Errors
+///
+/// If the connection cannot be opened or the kernel rejects an option.
+pub async fn connect(
+    from: Option<net::IpAddr>,
+    address: net::SocketAddr,
+    ack_timeout: Duration,
+) -> io::Result<TcpStream> {
+    let socket = match address {
+        net::SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        net::SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    if let Some(from) = from.filter(|from| from.is_ipv4() == address.is_ipv4()) {
+        socket.bind(net::SocketAddr::new(from, 0))?;
+    }
+    let stream = socket.connect(address).await?;
+    set_options(&stream, ack_timeout)?;
+    Ok(stream)
+}
+
+/// A stream whose writes pass a gate and fail if they stall.
 #[derive(Debug)]
-pub struct Socket {
-    stream: TcpStream,
+pub struct Socket<S> {
+    stream: S,
     gate: Arc<gate::Gate>,
     stall: stall::Timer,
 }
 
-impl Socket {
-    /// Opens a connection, from the IP address `from` if there is one.
-    ///
-    /// # Errors
-    ///
-    /// If the connection cannot be opened or the kernel rejects an option.
-    pub async fn open(
-        from: Option<net::IpAddr>,
-        address: net::SocketAddr,
-        ack_timeout: Duration,
-    ) -> io::Result<Self> {
-        let socket = match address {
-            net::SocketAddr::V4(_) => TcpSocket::new_v4()?,
-            net::SocketAddr::V6(_) => TcpSocket::new_v6()?,
-        };
-        if let Some(from) = from.filter(|from| from.is_ipv4() == address.is_ipv4()) {
-            socket.bind(net::SocketAddr::new(from, 0))?;
-        }
-        let stream = socket.connect(address).await?;
-        set_options(&stream, ack_timeout)?;
-        Ok(Self {
+impl<S> Socket<S> {
+    /// Wraps an open stream.
+    pub fn new(stream: S, stall_timeout: Duration) -> Self {
+        Self {
             stream,
             gate: Arc::default(),
-            stall: stall::Timer::new(ack_timeout),
-        })
+            stall: stall::Timer::new(stall_timeout),
+        }
     }
 
     /// Returns the gate that counts and blocks writes.
@@ -88,7 +93,7 @@
     }
 }
 
-impl AsyncRead for Socket {
+impl<S: AsyncRead + Unpin> AsyncRead for Socket<S> {
     fn poll_read(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
@@ -98,7 +103,7 @@
     }
 }
 
-impl AsyncWrite for Socket {
+impl<S: AsyncWrite + Unpin> AsyncWrite for Socket<S> {
     fn poll_write(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
--- a/crates/wire/src/update.rs
+++ b/crates/wire/src/update.rs
@@ -110,6 +110,17 @@
         /// Start time of the run, in milliseconds since 1970.
         started_millis: u64,
     },
+    /// A daemon has lost its path to the servers of a service, or has it again.
+    Path {
+        /// The service.
+        service: id::Service,
+        /// Process instance of the daemon.
+        from: instance::Instance,
+        /// Number of the report; a later report has a higher one.
+        number: u64,
+        /// Whether the path is lost.
+        lost: bool,
+    },
 }
 
 impl Update {
@@ -126,7 +137,8 @@
             Self::Evidence { .. }
             | Self::Configuration { .. }
             | Self::Platform { .. }
-            | Self::RateLimit { .. } => None,
+            | Self::RateLimit { .. }
+            | Self::Path { .. } => None,
         }
     }
 }
