--- a/crates/proxy/tests/all/fakes.rs
+++ b/crates/proxy/tests/all/fakes.rs
@@ -1,5 +1,6 @@
 //! Fakes of the rest of the daemon.
 
+use std::io;
 use std::net;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
@@ -7,9 +8,10 @@
 use futures_util::FutureExt as _;
 use futures_util::future::BoxFuture;
 use monsooncart_policy::claims::{claim, ticket};
-use monsooncart_policy::{balancer, handle, naive, selector, service};
-use monsooncart_proxy::interface;
+use monsooncart_policy::{balancer, handle, inventory, naive, selector, service};
+use monsooncart_proxy::{engine, interface, relay};
 use monsooncart_types::{id, instance, map, rate};
+use tokio_util::sync::CancellationToken;
 
 fn locked<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
@@ -22,8 +24,18 @@
     ejected: Mutex<Vec<id::Server>>,
     entry: Mutex<Option<net::SocketAddr>>,
     rate_limits: Mutex<Vec<(id::Server, Option<rate::Rate>)>>,
+    relay: Mutex<Option<engine::Engine>>,
+    lost_paths: Mutex<Vec<bool>>,
+    /// Ends the streams to the relay.
+    relay_cut: CancellationToken,
 }
 
+/// The daemon that relays requests.
+const RELAY: instance::Instance = instance::Instance(2);
+
+/// Bytes that a stream between two daemons holds.
+const STREAM_BYTES: usize = 64 << 10;
+
 impl Fleet {
     pub fn leaving(&self) -> Vec<id::Server> {
         locked(&self.leaving).clone()
@@ -34,6 +46,21 @@
         locked(&self.rate_limits).clone()
     }
 
+    /// Sets the engine of the daemon that relays requests.
+    pub fn set_relay(&self, relay: engine::Engine) {
+        *locked(&self.relay) = Some(relay);
+    }
+
+    /// Closes the connections to the relay.
+    pub fn cut_relay(&self) {
+        self.relay_cut.cancel();
+    }
+
+    /// Reports of the path to the servers, in order: whether it is lost.
+    pub fn lost_paths(&self) -> Vec<bool> {
+        locked(&self.lost_paths).clone()
+    }
+
     /// Sets the address that is returned as the service's entry.
     pub fn set_entry(&self, address: net::SocketAddr) {
         *locked(&self.entry) = Some(address);
@@ -80,6 +107,39 @@
     fn daemons(&self, _: &id::Service) -> Vec<instance::Instance> {
         vec![INSTANCE]
     }
+
+    fn relays(&self, _: &id::Service) -> Vec<inventory::Relay> {
+        let relay = inventory::Relay {
+            peer: RELAY,
+            local: true,
+            capacity: 1000,
+        };
+        locked(&self.relay).iter().map(|_| relay).collect()
+    }
+
+    fn vm(&self, daemon: instance::Instance) -> Option<id::Vm> {
+        (daemon == RELAY).then(|| "entry-2".parse().unwrap())
+    }
+
+    fn open_relay(
+        &self,
+        _: instance::Instance,
+    ) -> BoxFuture<'_, io::Result<Box<dyn relay::Stream>>> {
+        let relay = locked(&self.relay).clone();
+        let (near, far) = tokio::io::duplex(STREAM_BYTES);
+        let cut = self.relay_cut.clone();
+        async move {
+            let relay = relay.ok_or(io::ErrorKind::NotFound)?;
+            let serving = async move { relay.serve_relay(far).await };
+            tokio::spawn(async move { cut.run_until_cancelled(serving).await });
+            Ok(Box::new(near) as Box<dyn relay::Stream>)
+        }
+        .boxed()
+    }
+
+    fn report_path(&self, _: &id::Service, lost: bool) {
+        locked(&self.lost_paths).push(lost);
+    }
 }
 
 /// Claims that are decided in memory.
--- a/crates/proxy/tests/all/main.rs
+++ b/crates/proxy/tests/all/main.rs
@@ -21,6 +21,7 @@
 mod not_run;
 mod policy_actions;
 mod rate_limits;
+mod relaying;
 mod retry_after;
 mod routing;
 mod statuses;
