--- a/crates/proxy/src/service.rs
+++ b/crates/proxy/src/service.rs
@@ -138,10 +138,11 @@
                 .or_insert(new_handle);
             if server_spec.leaving {
                 let started_millis = server_spec.started_millis;
-                if self
+                let is_new = self
                     .common
-                    .record_leaving(&server_spec.name, started_millis)
-                {
+                    .record_leaving(&server_spec.name, started_millis);
+                let was_leaving = old.servers.get(&handle).is_some_and(|s| s.spec.leaving);
+                if is_new && !was_leaving {
                     log::info!(service:% = self.name, server:% = server_spec.name; "config: server is leaving");
                 }
             }
