Ignore failures of attempts from before the path came back

A failure of an attempt that was sent before the newest proof of the path says nothing about the present, so it is not counted.

--- a/crates/policy/src/event.rs
+++ b/crates/policy/src/event.rs
@@ -89,8 +89,10 @@
     PathProbe {
         /// The server.
         server: handle::Server,
-        /// Time at which the probe opened its connection; `None` if the server did not respond.
-        connected_at: Option<time::Time>,
+        /// Time at which the probe was sent.
+        sent_at: time::Time,
+        /// Whether the server responded.
+        responded: bool,
     },
     /// Another daemon has lost its path to the servers; this one may have lost its own unnoticed.
     PeerPathLost,
--- a/crates/policy/src/path.rs
+++ b/crates/policy/src/path.rs
@@ -30,6 +30,8 @@
 pub struct Failure {
     /// Server of the failed attempt.
     pub server: handle::Server,
+    /// Time at which the attempt was sent.
+    pub sent_at: time::Time,
     /// Time at which the attempt failed.
     pub failed_at: time::Time,
     /// Whether the failure is withheld from the evidence about the server until the path is known
@@ -43,6 +45,8 @@
     /// Failures since the last response, at most one for each server.
     failures: Vec<Failure>,
     lost_since: Option<time::Time>,
+    /// Opening time of the newest connection on which a response was received.
+    proven_at: time::Time,
     probed_at: Option<time::Time>,
 }
 
@@ -69,6 +73,10 @@
     /// sent to. Returns whether the path is lost from now on.
     pub fn record_failure(&mut self, failure: Failure, server_count: usize) -> bool {
         let now = failure.failed_at;
+        if failure.sent_at < self.proven_at {
+            // It was sent while the path was lost, which it is no longer.
+            return false;
+        }
         self.failures
             .retain(|f| f.server != failure.server && now.since(f.failed_at) < FAILURE_LIFETIME);
         self.failures.push(failure);
@@ -84,6 +92,7 @@
     /// Records a response on a connection that was opened at `opened_at`. Returns the failures before
     /// that, which were the servers', and whether the path was lost.
     pub fn record_response(&mut self, opened_at: time::Time) -> (Vec<Failure>, bool) {
+        self.proven_at = self.proven_at.max(opened_at);
         let is_proof = |f: &mut Failure| f.failed_at <= opened_at;
         let servers_fault: Vec<_> = self.failures.extract_if(.., is_proof).collect();
         let was_lost = self.lost_since.is_some_and(|since| since <= opened_at);
--- a/crates/policy/src/selector.rs
+++ b/crates/policy/src/selector.rs
@@ -131,10 +131,16 @@
                 attempt,
                 connected_at,
             } => self.record_response(now, attempt, connected_at, actions),
+            event::Event::PathProbe {
+                sent_at,
+                responded: true,
+                ..
+            } => self.record_path(now, sent_at, actions),
             event::Event::PathProbe {
                 server,
-                connected_at,
-            } => self.record_path_probe(now, server, connected_at, actions),
+                sent_at,
+                responded: false,
+            } => self.record_failed_probe(now, server, sent_at, actions),
             event::Event::PeerPathLost => self.check_own_path(now, actions),
             event::Event::Leaving(server) => {
                 if let Some(server) = self.server_mut(server) {
--- a/crates/policy/src/selector/path_loss.rs
+++ b/crates/policy/src/selector/path_loss.rs
@@ -179,28 +179,25 @@
         self.record_path(now, connected_at, actions);
     }
 
-    /// Records the result of a path probe.
-    pub(super) fn record_path_probe(
+    /// Records a path probe to which there was no response.
+    pub(super) fn record_failed_probe(
         &mut self,
         now: time::Time,
         server: handle::Server,
-        connected_at: Option<time::Time>,
+        sent_at: time::Time,
         actions: &mut Vec<action::Action>,
     ) {
-        match connected_at {
-            Some(connected_at) => self.record_path(now, connected_at, actions),
-            None => {
-                let failure = path::Failure {
-                    server,
-                    failed_at: now,
-                    withheld: false,
-                };
-                self.add_path_failure(failure, actions);
-            }
-        }
+        let failure = path::Failure {
+            server,
+            sent_at,
+            failed_at: now,
+            withheld: false,
+        };
+        self.add_path_failure(failure, actions);
     }
 
-    fn record_path(
+    /// Records that the path was there when a connection was opened.
+    pub(super) fn record_path(
         &mut self,
         now: time::Time,
         connected_at: time::Time,
@@ -239,6 +236,7 @@
         }
         let failure = path::Failure {
             server: in_flight.server,
+            sent_at: in_flight.sent_at,
             failed_at: now,
             withheld: outcome == outcome::Outcome::Unsent,
         };
--- a/crates/policy/tests/selector/invariants.rs
+++ b/crates/policy/tests/selector/invariants.rs
@@ -194,7 +194,8 @@
                 }
                 4 => harness.handle(event::Event::PathProbe {
                     server: handle::Server(u.int_in_range(0..=4)?),
-                    connected_at: u.arbitrary::<bool>()?.then_some(harness.now),
+                    sent_at: harness.now,
+                    responded: u.arbitrary()?,
                 }),
                 _ if in_flight.is_empty() => Vec::new(),
                 5 => {
--- a/crates/policy/tests/selector/path_loss.rs
+++ b/crates/policy/tests/selector/path_loss.rs
@@ -207,7 +207,8 @@
 
     let actions = harness.handle(event::Event::PathProbe {
         server: probed[0],
-        connected_at: Some(harness.now),
+        sent_at: harness.now,
+        responded: true,
     });
 
     assert_eq!(path_reports(&actions), [false]);
@@ -240,9 +241,11 @@
     let waiting = sent_attempts(&harness.arrive(false))[0];
     harness.advance(600 * MS);
     let probed = probed_servers(&harness.handle(event::Event::Tick));
+    let sent_at = harness.now;
     let probe_failed = |server: handle::Server| event::Event::PathProbe {
         server,
-        connected_at: None,
+        sent_at,
+        responded: false,
     };
     harness.handle(probe_failed(probed[0]));
     let actions = harness.handle(probe_failed(probed[1]));
@@ -275,7 +278,8 @@
     assert_eq!(probed.len(), 2);
     harness.handle(event::Event::PathProbe {
         server: probed[0],
-        connected_at: Some(harness.now),
+        sent_at: harness.now,
+        responded: true,
     });
     harness.advance(400 * MS);
 
@@ -283,6 +287,28 @@
     assert_eq!(probed, []);
 }
 
+/// Guards against a path that is lost again by probes from before it came back (RECOVER).
+#[test]
+fn probes_that_were_sent_before_the_path_came_back_do_not_lose_it_again() {
+    let mut harness = harness(4);
+    lose_path(&mut harness);
+    let earlier = harness.now;
+    harness.advance(500 * MS);
+    let probe = |server, sent_at, responded| event::Event::PathProbe {
+        server: handle::Server(server),
+        sent_at,
+        responded,
+    };
+    let now = harness.now;
+    harness.handle(probe(0, now, true));
+
+    for server in 1..4 {
+        let actions = harness.handle(probe(server, earlier, false));
+
+        assert_eq!(path_reports(&actions), []);
+    }
+}
+
 #[test]
 fn one_server_that_does_not_respond_is_no_lost_path() {
     let mut harness = harness(3);
--- a/crates/proxy/src/service/deferred.rs
+++ b/crates/proxy/src/service/deferred.rs
@@ -118,11 +118,12 @@
         let service = self.clone();
         tokio::spawn(async move {
             let path = active_config.spec.health_path.as_deref();
-            let connected_at = service.common.clock.now();
+            let sent_at = service.common.clock.now();
             let responded = crate::probe::check_path(&service.common, &server, path).await;
             service.handle_event(event::Event::PathProbe {
                 server: handle,
-                connected_at: responded.then_some(connected_at),
+                sent_at,
+                responded,
             });
         });
     }
