--- a/crates/proxy/tests/all/relaying.rs
+++ b/crates/proxy/tests/all/relaying.rs
@@ -120,6 +120,22 @@
     assert_eq!(server.heads(), 1);
 }
 
+/// Guards against requests to a server whose leaving only a relayed response announced (DRAIN).
+#[tokio::test]
+async fn server_that_announces_its_leaving_in_a_relayed_response_is_reported() {
+    let script = host_response("200 OK", "x-leaving: 1\r\n");
+    let server = ScriptedServer::start(script).await;
+    let (daemon, relay) = start(&server).await;
+
+    let request = fixture::host_request("POST", "/orders/1");
+    let response = fixture::send(daemon.address, request).await;
+
+    assert_eq!(response.status, StatusCode::OK);
+    for fakes in [&daemon.fakes, &relay.fakes] {
+        assert_eq!(fakes.fleet.leaving(), ["server-0".parse().unwrap()]);
+    }
+}
+
 /// Guards against a planned stop of a relay that cuts off what it relays.
 #[tokio::test]
 async fn planned_stop_of_the_relay_completes_the_requests_in_flight() {
--- a/crates/testbed/src/soak/plan.rs
+++ b/crates/testbed/src/soak/plan.rs
@@ -50,6 +50,10 @@
     StoreRestored,
     /// A daemon is partitioned from the store.
     StoreCut,
+    /// Connections between some daemons and all servers hang.
+    PathsCut,
+    /// Connections that some daemons open to servers are reset.
+    PathsReset,
     /// One direction between a daemon and its peers is partitioned.
     PeersCut,
     /// Some datagrams to a daemon are lost.
--- a/crates/testbed/src/soak/trouble.rs
+++ b/crates/testbed/src/soak/trouble.rs
@@ -105,6 +105,8 @@
             plan::Kind::StoreCut | plan::Kind::PeersCut | plan::Kind::PeersLossy => {
                 self.disturb_daemon_links().await;
             }
+            plan::Kind::PathsCut => self.partition_from_servers(Fault::Cut).await,
+            plan::Kind::PathsReset => self.partition_from_servers(Fault::Refuse).await,
             plan::Kind::Pause => {
                 let duration = self.duration;
                 let daemon = self.choose_daemon();
@@ -222,6 +224,24 @@
         self.apply_rules(&link, vec![rule]).await;
     }
 
+    /// Applies a fault to the traffic between some daemons and all servers.
+    async fn partition_from_servers(&mut self, fault: Fault) {
+        let share = self.rng.random_range(0.1..0.9);
+        let indices = plan::sample_indices(self.fleet.daemons.len(), share, &mut self.rng);
+        let sources = indices.iter().map(|index| self.fleet.daemons[*index].ip);
+        let rules: Vec<_> = sources
+            .map(|source| Rule::both_ways(fault).for_source(source))
+            .collect();
+        let links: Vec<_> = self.fleet.servers().into_iter().map(|s| s.link).collect();
+        for link in &links {
+            link.set_rules(rules.clone());
+        }
+        tokio::time::sleep(self.duration).await;
+        for link in &links {
+            link.set_rules(Vec::new());
+        }
+    }
+
     async fn kill_daemons(&mut self, share: f64) {
         let mut killed = plan::sample_indices(self.fleet.daemons.len(), share, &mut self.rng);
         // All tasks lock in the same order, so that they cannot deadlock.
