Report a lost path once, not every two seconds

A daemon renewed the report of its lost path every 2 s by gossip to the whole fleet: with a data centre of 225 daemons cut off, some 110 reports a second, each forwarded up to 16 times by each daemon (arithmetic), far over what control may take. A report is sent once now, twice a second at most for a path that comes and goes, retained for a minute for daemons that missed it, and dropped with its daemon's membership.

--- a/crates/daemon/src/engine.rs
+++ b/crates/daemon/src/engine.rs
@@ -152,8 +152,8 @@
             let send = move || gateway::evidence::send(state.clone());
             self.spawn_restarting("evidence sender", send);
             let state = core.clone();
-            let renew = move || gateway::paths::renew(state.clone());
-            self.spawn_restarting("path reports", renew);
+            let report = move || gateway::paths::report(state.clone());
+            self.spawn_restarting("path reports", report);
             return;
         }
         self.spawn_restarting("evidence publisher", move || {
--- a/crates/daemon/src/fleet.rs
+++ b/crates/daemon/src/fleet.rs
@@ -212,7 +212,7 @@
 
     fn report_path(&self, service: &id::Service, lost: bool) {
         if let Some(paths) = &self.core.gateway_paths {
-            self.publish(paths.record_own(service, lost));
+            paths.record_own(service, lost);
         }
     }
 
--- a/crates/daemon/src/gateway/paths.rs
+++ b/crates/daemon/src/gateway/paths.rs
@@ -1,24 +1,22 @@
 //! Daemons that have lost their path to the servers of a service.
 //!
-//! A daemon reports a lost path when it notices it and again while it lasts, so that a report that is
-//! not renewed expires with its daemon. Daemons with a lost path are left out of the entry sets, and
-//! are asked to relay nothing for that service.
+//! A daemon reports to the fleet that it has lost a path, and that it is there again. Daemons with a
+//! lost path are left out of the entry sets, and are asked to relay nothing for that service. The
+//! reports of a daemon end with its process.
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use monsooncart_cluster::scope;
-use monsooncart_types::{id, instance, map, time};
+use monsooncart_policy::membership::member;
+use monsooncart_types::{id, instance, map};
 use monsooncart_wire::update;
 use tokio::sync::watch;
 
 use crate::core;
 
-/// Interval at which a lost path is reported again.
-const RENEWAL_INTERVAL: Duration = Duration::from_secs(2);
-
-/// Age at which a report of another daemon expires.
-const REPORT_LIFETIME: Duration = Duration::from_secs(7);
+/// Minimum time between two reports, so that a path that comes and goes is not gossiped each time.
+const REPORT_INTERVAL: Duration = Duration::from_millis(500);
 
 /// Maximum number of stored reports of other daemons.
 const MAX_REPORTS: usize = 16_384;
@@ -28,13 +26,14 @@
 struct Report {
     number: u64,
     lost: bool,
-    received_at: time::Time,
 }
 
 #[derive(Debug, Default)]
 struct State {
     /// Services to whose servers this daemon has lost its path.
     own: map::Set<id::Service>,
+    /// The same, as reported last.
+    reported: map::Set<id::Service>,
     own_reports: u64,
     reports: map::Map<(instance::Instance, id::Service), Report>,
 }
@@ -71,49 +70,42 @@
         self.changes.send_modify(|number| *number += 1);
     }
 
-    /// Records whether this daemon has lost its path to the servers of a service; returns the update
-    /// that reports it.
-    pub fn record_own(&self, service: &id::Service, lost: bool) -> update::Update {
+    /// Records whether this daemon has lost its path to the servers of a service.
+    pub fn record_own(&self, service: &id::Service, lost: bool) {
         let mut state = self.lock();
         match lost {
             true => state.own.insert(service.clone()),
             false => state.own.remove(service),
         };
-        let update = self.report(&mut state, service.clone(), lost);
         drop(state);
         self.notify();
-        update
     }
 
-    fn report(&self, state: &mut State, service: id::Service, lost: bool) -> update::Update {
-        state.own_reports += 1;
-        update::Update::Path {
-            service,
-            from: self.own_instance,
-            number: state.own_reports,
-            lost,
-        }
-    }
-
-    /// Updates that report this daemon's lost paths again.
-    fn renewals(&self) -> Vec<update::Update> {
+    /// Updates that report what has changed since the last ones.
+    fn take_reports(&self) -> Vec<update::Update> {
         let mut state = self.lock();
-        let services: Vec<_> = state.own.iter().cloned().collect();
-        let renewals = services.into_iter();
-        renewals
-            .map(|service| self.report(&mut state, service, true))
-            .collect()
+        let mut changed: Vec<_> = state
+            .own
+            .symmetric_difference(&state.reported)
+            .cloned()
+            .collect();
+        changed.sort_unstable();
+        state.reported = state.own.clone();
+        let mut reports = Vec::new();
+        for service in changed {
+            state.own_reports += 1;
+            reports.push(update::Update::Path {
+                lost: state.own.contains(&service),
+                service,
+                from: self.own_instance,
+                number: state.own_reports,
+            });
+        }
+        reports
     }
 
     /// Records the report of another daemon, unless a later one is known.
-    pub fn record(
-        &self,
-        now: time::Time,
-        from: instance::Instance,
-        service: id::Service,
-        number: u64,
-        lost: bool,
-    ) {
+    pub fn record(&self, from: instance::Instance, service: id::Service, number: u64, lost: bool) {
         let mut state = self.lock();
         let key = (from, service);
         let known = state.reports.get(&key).copied();
@@ -122,28 +114,23 @@
         if from == self.own_instance || is_outdated || is_full {
             return;
         }
-        let report = Report {
-            number,
-            lost,
-            received_at: now,
-        };
-        state.reports.insert(key, report);
+        state.reports.insert(key, Report { number, lost });
         drop(state);
         if known.is_some_and(|known| known.lost) != lost {
             self.notify();
         }
     }
 
-    /// Removes expired reports.
-    fn expire(&self, now: time::Time) {
-        let is_current = |report: &Report| now.since(report.received_at) < REPORT_LIFETIME;
+    /// Removes the reports of daemons that are no longer members.
+    pub fn retain_members(&self, members: &[member::Member]) {
         let mut state = self.lock();
-        let had_lost = state.reports.values().any(|r| r.lost && !is_current(r));
-        state.reports.retain(|_, report| is_current(report));
-        drop(state);
-        if had_lost {
-            self.notify();
+        if state.reports.is_empty() {
+            return;
         }
+        let instances: map::Set<_> = members.iter().map(|m| m.instance).collect();
+        state
+            .reports
+            .retain(|(daemon, _), _| instances.contains(daemon));
     }
 
     /// Whether a daemon has lost its path to the servers of a service, as far as known.
@@ -168,23 +155,22 @@
     }
 }
 
-/// Reports lost paths again and lets old reports expire, until the task is dropped.
-pub async fn renew(core: Arc<core::Core>) {
+/// Reports this daemon's lost paths to the fleet until the task is dropped.
+pub async fn report(core: Arc<core::Core>) {
     let Some(paths) = &core.gateway_paths else {
         return;
     };
     let mut changes = paths.changes();
-    loop {
-        // Without lost paths there is nothing to renew or to expire.
-        if paths.lost_daemons().is_empty() && changes.changed().await.is_err() {
-            return;
+    while changes.changed().await.is_ok() {
+        let reports = paths.take_reports();
+        if reports.is_empty() {
+            continue;
         }
-        tokio::time::sleep(RENEWAL_INTERVAL).await;
-        paths.expire(core.now());
         if let Some(cluster) = core.cluster() {
-            for update in paths.renewals() {
-                cluster.publish(update, scope::Scope::Fleet);
+            for report in reports {
+                cluster.publish(report, scope::Scope::Fleet);
             }
         }
+        tokio::time::sleep(REPORT_INTERVAL).await;
     }
 }
--- a/crates/daemon/src/rpc.rs
+++ b/crates/daemon/src/rpc.rs
@@ -225,8 +225,7 @@
                 lost,
             } => {
                 if let Some(paths) = &self.core.gateway_paths {
-                    let service_name = service.clone();
-                    paths.record(self.core.now(), from, service_name, number, lost);
+                    paths.record(from, service.clone(), number, lost);
                 }
                 if let Some(proxy) = self.core.proxy().filter(|_| lost) {
                     proxy.check_path(&service);
--- a/crates/daemon/src/updates.rs
+++ b/crates/daemon/src/updates.rs
@@ -26,6 +26,9 @@
         let changed_sets = match &core.gateway_entries {
             Some(entries) => {
                 let services = snapshot.services().map(|s| s.name.clone());
+                if let Some(paths) = &core.gateway_paths {
+                    paths.retain_members(&members);
+                }
                 let lost = core.gateway_paths.as_ref().map(paths::Paths::lost_daemons);
                 let has_changed = entries.update(&members, &lost.unwrap_or_default());
                 services.filter(|_| has_changed).collect()
--- a/crates/wire/src/update.rs
+++ b/crates/wire/src/update.rs
@@ -130,6 +130,7 @@
     pub fn retention(&self) -> Option<Duration> {
         match self {
             Self::Leaving { .. } | Self::RunLeaving { .. } => Some(LEAVING_RETENTION),
+            Self::Path { .. } => Some(PATH_RETENTION),
             Self::Quarantine { span, .. } => Some(*span),
             Self::Mark { .. } | Self::Ledger { .. } => Some(EJECTION_RETENTION),
             Self::Succession(_) => Some(SUCCESSION_RETENTION),
@@ -137,8 +138,7 @@
             Self::Evidence { .. }
             | Self::Configuration { .. }
             | Self::Platform { .. }
-            | Self::RateLimit { .. }
-            | Self::Path { .. } => None,
+            | Self::RateLimit { .. } => None,
         }
     }
 }
@@ -146,6 +146,10 @@
 /// Retention of the update announcing that a server is draining.
 const LEAVING_RETENTION: Duration = Duration::from_secs(600);
 
+/// Retention of a report about a daemon's path to servers. A daemon that learns of none is asked to
+/// relay requests, which it refuses.
+const PATH_RETENTION: Duration = Duration::from_secs(60);
+
 /// Retention of a crash report.
 const CRASH_RETENTION: Duration = Duration::from_secs(60);
 
