Take no crash from a connection that a lost path broke (RECOVER)

The same class of fault as the doubted servers: the observer's fault taken for one of what it observes.

A connection that breaks without any response counts as a crash only once a response on a newer connection has shown that the path is there; another server is probed at once for that, so that a request that does crash servers is known within milliseconds. Failures of a loss that a failed probe confirmed are dropped when the path is back, and no longer attributed to the servers.

--- a/crates/policy/src/path.rs
+++ b/crates/policy/src/path.rs
@@ -37,6 +37,8 @@
     /// Whether the failure is withheld from the evidence about the server until the path is known
     /// to be there.
     pub withheld: bool,
+    /// The request, if the failure may be a crash of the server that the request caused.
+    pub fingerprint: Option<handle::Fingerprint>,
 }
 
 /// Belief about the path to the servers of one service.
@@ -45,6 +47,8 @@
     /// Failures since the last response, at most one for each server.
     failures: Vec<Failure>,
     lost_since: Option<time::Time>,
+    /// Whether a probe got no response since the path was lost.
+    confirmed: bool,
     /// Opening time of the newest connection on which a response was received.
     proven_at: time::Time,
     probed_at: Option<time::Time>,
@@ -85,21 +89,41 @@
             return false;
         }
         self.lost_since = Some(now);
+        self.confirmed = false;
         self.probed_at = None;
         true
     }
 
+    /// Records a probe of a server to which there was no response, like [`Path::record_failure`].
+    pub fn record_failed_probe(&mut self, failure: Failure, server_count: usize) -> bool {
+        let is_newly_lost = self.record_failure(failure, server_count);
+        self.confirmed |= self.is_lost() && failure.sent_at >= self.proven_at;
+        is_newly_lost
+    }
+
+    /// Whether a failure that this request may have caused by a crash is not attributed yet.
+    #[must_use]
+    pub fn may_have_crashed(&self, fingerprint: handle::Fingerprint) -> bool {
+        let fingerprint = Some(fingerprint);
+        self.failures.iter().any(|f| f.fingerprint == fingerprint)
+    }
+
     /// Records a response on a connection that was opened at `opened_at`. Returns the failures before
-    /// that, which were the servers', and whether the path was lost.
+    /// that which were the servers', and whether the path was lost. Those of a loss that a probe
+    /// confirmed were not.
     pub fn record_response(&mut self, opened_at: time::Time) -> (Vec<Failure>, bool) {
         self.proven_at = self.proven_at.max(opened_at);
         let is_proof = |f: &mut Failure| f.failed_at <= opened_at;
         let servers_fault: Vec<_> = self.failures.extract_if(.., is_proof).collect();
         let was_lost = self.lost_since.is_some_and(|since| since <= opened_at);
-        if was_lost {
-            self.lost_since = None;
+        if !was_lost {
+            return (servers_fault, false);
+        }
+        self.lost_since = None;
+        match std::mem::take(&mut self.confirmed) {
+            true => (Vec::new(), true),
+            false => (servers_fault, true),
         }
-        (servers_fault, was_lost)
     }
 
     /// Whether to probe servers now; `silent` if attempts wait with no response from any server.
--- a/crates/policy/src/selector.rs
+++ b/crates/policy/src/selector.rs
@@ -524,7 +524,7 @@
             return;
         };
         let arrival = &pending.arrival;
-        let suspected = |f| self.poison.is_suspected(f);
+        let suspected = |f| self.poison.is_suspected(f) || self.path.may_have_crashed(f);
         let hedge_after = self
             .latency_objective(arrival)
             .mul_f64(HEDGE_OBJECTIVE_RATIO);
--- a/crates/policy/src/selector/evidence.rs
+++ b/crates/policy/src/selector/evidence.rs
@@ -77,7 +77,10 @@
             }
             outcome::Outcome::Broken => {
                 server.record_failure(now);
-                self.record_broken(now, in_flight, actions);
+                // Without any response, the path may have broken the connection.
+                if let Some(fingerprint) = in_flight.fingerprint.filter(|_| in_flight.responded) {
+                    self.record_crash(now, fingerprint, in_flight.server, actions);
+                }
             }
             outcome::Outcome::Timeout if is_slow && !in_flight.slow_recorded => {
                 server.record_failure(now);
@@ -115,17 +118,14 @@
         }
     }
 
-    /// Records a broken connection, which the request may have caused by crashing the server.
-    fn record_broken(
+    /// Records that a request broke its connection to a server, which it may have crashed.
+    pub(super) fn record_crash(
         &mut self,
         now: time::Time,
-        in_flight: &in_flight::Attempt,
+        fingerprint: handle::Fingerprint,
+        server: handle::Server,
         actions: &mut Vec<action::Action>,
     ) {
-        let Some(fingerprint) = in_flight.fingerprint else {
-            return;
-        };
-        let server = in_flight.server;
         let verdict = self.poison.record_crash(now, fingerprint, server, 0.0);
         if verdict == poison::Verdict::FirstCrash {
             actions.push(action::Action::ReportCrash {
--- a/crates/policy/src/selector/path_loss.rs
+++ b/crates/policy/src/selector/path_loss.rs
@@ -192,8 +192,12 @@
             sent_at,
             failed_at: now,
             withheld: false,
+            fingerprint: None,
         };
-        self.add_path_failure(failure, actions);
+        let available = self.available_servers();
+        if self.path.record_failed_probe(failure, available) {
+            self.lose_path(now, actions);
+        }
     }
 
     /// Records that the path was there when a connection was opened.
@@ -205,11 +209,16 @@
     ) {
         self.last_response_at = now;
         let (servers_fault, was_lost) = self.path.record_response(connected_at);
-        for failure in servers_fault.iter().filter(|failure| failure.withheld) {
-            if let Some(server) = self.server_mut(failure.server) {
+        for failure in servers_fault {
+            if failure.withheld
+                && let Some(server) = self.server_mut(failure.server)
+            {
                 server.record_failure(now);
+                self.report_state(now, failure.server, actions);
+            }
+            if let Some(fingerprint) = failure.fingerprint {
+                self.record_crash(now, fingerprint, failure.server, actions);
             }
-            self.report_state(now, failure.server, actions);
         }
         if was_lost {
             actions.push(action::Action::ReportPath {
@@ -239,21 +248,30 @@
             sent_at: in_flight.sent_at,
             failed_at: now,
             withheld: outcome == outcome::Outcome::Unsent,
+            fingerprint: in_flight
+                .fingerprint
+                .filter(|_| outcome == outcome::Outcome::Broken),
         };
-        self.add_path_failure(failure, actions);
+        let available = self.available_servers();
+        if self.path.record_failure(failure, available) {
+            self.lose_path(now, actions);
+        } else if failure.fingerprint.is_some() {
+            // Whether the server crashed is to be known before the request goes to another one.
+            self.send_probes(None, actions);
+        }
     }
 
-    fn add_path_failure(&mut self, failure: path::Failure, actions: &mut Vec<action::Action>) {
-        let available = self.servers.iter().filter(|s| !s.is_unavailable()).count();
-        if !self.path.record_failure(failure, available) {
-            return;
-        }
+    fn available_servers(&self) -> usize {
+        self.servers.iter().filter(|s| !s.is_unavailable()).count()
+    }
+
+    fn lose_path(&mut self, now: time::Time, actions: &mut Vec<action::Action>) {
         actions.push(action::Action::ReportPath {
             lost: true,
             evidence: self.path.to_string(),
         });
-        self.probe_path(failure.failed_at, actions);
-        self.hedge_through_relays(failure.failed_at, actions);
+        self.probe_path(now, actions);
+        self.hedge_through_relays(now, actions);
     }
 
     /// Probes servers while the path is lost, and when attempts wait with no response from any server.
--- a/crates/policy/tests/selector/path_loss.rs
+++ b/crates/policy/tests/selector/path_loss.rs
@@ -287,6 +287,91 @@
     assert_eq!(probed, []);
 }
 
+/// Sends a request with this fingerprint, whose connection breaks before any response.
+fn break_request(harness: &mut Harness, fingerprint: handle::Fingerprint) -> Vec<action::Action> {
+    let mut arrival = harness.arrival(false);
+    arrival.fingerprint = Some(fingerprint);
+    let sent = sent_attempts(&harness.handle(event::Event::Arrive(arrival)))[0];
+    harness.advance(MS);
+    harness.finish(sent.attempt, outcome::Outcome::Broken)
+}
+
+/// Answers the probes among the actions.
+fn answer_probes(
+    harness: &mut Harness,
+    actions: &[action::Action],
+    responded: bool,
+) -> Vec<action::Action> {
+    let sent_at = harness.now;
+    let probed = probed_servers(actions).into_iter();
+    let probes = probed.map(|server| event::Event::PathProbe {
+        server,
+        sent_at,
+        responded,
+    });
+    probes.flat_map(|probe| harness.handle(probe)).collect()
+}
+
+fn is_quarantine(action: &action::Action) -> bool {
+    matches!(action, action::Action::Quarantine { .. })
+}
+
+fn is_crash_report(action: &action::Action) -> bool {
+    matches!(action, action::Action::ReportCrash { .. })
+}
+
+/// Guards against requests that are quarantined because the path broke their connections (RECOVER).
+#[test]
+fn requests_whose_connections_a_lost_path_broke_are_not_quarantined() {
+    let mut harness = harness(4);
+    let fingerprint = handle::Fingerprint(5);
+
+    let mut actions = break_request(&mut harness, fingerprint);
+    actions.extend(break_request(&mut harness, fingerprint));
+    let failed = answer_probes(&mut harness, &actions, false);
+    actions.extend(failed);
+    harness.advance(1000 * MS);
+    let ticked = harness.handle(event::Event::Tick);
+    actions.extend(answer_probes(&mut harness, &ticked, true));
+
+    assert!(!harness.handle(event::Event::Tick).iter().any(is_quarantine));
+    assert!(!actions.iter().any(is_quarantine));
+    assert!(!actions.iter().any(is_crash_report));
+}
+
+#[test]
+fn a_request_that_crashes_two_servers_is_quarantined_once_probes_show_the_path() {
+    let mut harness = harness(4);
+    let fingerprint = handle::Fingerprint(5);
+
+    let first = break_request(&mut harness, fingerprint);
+    let first = answer_probes(&mut harness, &first, true);
+    let second = break_request(&mut harness, fingerprint);
+    let second = answer_probes(&mut harness, &second, true);
+
+    assert_eq!(first.iter().filter(|a| is_crash_report(a)).count(), 1);
+    assert_eq!(second.iter().filter(|a| is_quarantine(a)).count(), 1);
+}
+
+/// Guards against servers that are doubted after a loss of the path (RECOVER).
+#[test]
+fn failures_of_a_confirmed_loss_are_no_evidence_about_servers_once_the_path_is_back() {
+    let mut harness = harness(3);
+    lose_path(&mut harness);
+    harness.advance(600 * MS);
+    let probes = harness.handle(event::Event::Tick);
+    answer_probes(&mut harness, &probes, false);
+    harness.advance(600 * MS);
+    let probes = harness.handle(event::Event::Tick);
+
+    let actions = answer_probes(&mut harness, &probes, true);
+
+    assert_eq!(path_reports(&actions), [false]);
+    let now = harness.now;
+    let digests = harness.policy.digest(now);
+    assert!(digests.iter().all(|(_, digest)| digest.bad == 0));
+}
+
 /// Guards against a path that is lost again by probes from before it came back (RECOVER).
 #[test]
 fn probes_that_were_sent_before_the_path_came_back_do_not_lose_it_again() {
