--- a/crates/daemon/tests/entries.rs
+++ b/crates/daemon/tests/entries.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use monsooncart_config::{object, objective, server, service, snapshot, zone};
-use monsooncart_daemon::entries;
+use monsooncart_daemon::{entries, gateway};
 use monsooncart_policy::membership::member;
 use monsooncart_types::{id, instance, share, span};
 
@@ -158,3 +158,50 @@
         Ok(())
     });
 }
+
+/// Numbers of the daemons that callers of `data_centre` are directed to.
+fn resolved(sets: &gateway::entries::Entries, data_centre: &str) -> Vec<u64> {
+    let members = sets.for_data_centre(Some(&name(data_centre)));
+    let mut numbers: Vec<_> = members.iter().map(|m| m.instance.0).collect();
+    numbers.sort_unstable();
+    numbers
+}
+
+/// Guards against callers that are directed to daemons without a path to the servers (RECOVER).
+#[test]
+fn daemons_that_lost_their_path_are_left_out_of_the_gateway_sets() {
+    let members = [(1, "a"), (2, "a"), (3, "b"), (4, "b")];
+    let members = members.map(|(number, centre)| member(number, centre, "north"));
+    let lost = |numbers: &[u64]| numbers.iter().map(|n| instance::Instance(*n)).collect();
+    let sets = gateway::entries::Entries::new(SET_SIZE);
+
+    sets.update(&members, &lost(&[]));
+    assert_eq!(resolved(&sets, "a"), [1, 2]);
+    sets.update(&members, &lost(&[1]));
+    assert_eq!(resolved(&sets, "a"), [2]);
+    // Callers of a data centre that is cut off as a whole are directed to the others.
+    sets.update(&members, &lost(&[1, 2]));
+    assert_eq!(resolved(&sets, "a"), [3, 4]);
+    sets.update(&members, &lost(&[1, 2, 3, 4]));
+    assert_eq!(resolved(&sets, "a"), [1, 2]);
+}
+
+#[test]
+fn reports_of_lost_paths_are_ordered_and_end_with_their_daemon() {
+    let paths = gateway::paths::Paths::new(instance::Instance(1));
+    let (service, other) = (name("desk"), instance::Instance(2));
+
+    paths.record(other, service, 2, true);
+    paths.record(other, name("desk"), 1, false);
+    assert!(paths.is_lost(other, &name("desk")));
+    assert!(!paths.is_lost(other, &name("vault")));
+    paths.record_own(&name("vault"), true);
+    let mut lost: Vec<_> = paths.lost_daemons().into_iter().collect();
+    lost.sort_unstable();
+    assert_eq!(lost, [instance::Instance(1), other]);
+
+    paths.retain_members(&[member(1, "a", "north")]);
+    assert!(!paths.is_lost(other, &name("desk")));
+    paths.record_own(&name("vault"), false);
+    assert!(paths.lost_daemons().is_empty());
+}
--- a/crates/policy/src/selector.rs
+++ b/crates/policy/src/selector.rs
@@ -22,6 +22,7 @@
 pub mod rate_limit;
 mod relay;
 pub mod report;
+mod retry;
 mod server;
 
 use std::time::Duration;
@@ -34,12 +35,6 @@
 
 pub use config::Config;
 
-/// Time after which a repeatable request is hedged, as a fraction of its latency objective.
-const HEDGE_OBJECTIVE_RATIO: f64 = 0.5;
-
-/// Minimum time before a request is hedged, as a multiple of the typical latency.
-const HEDGE_LATENCY_RATIO: f64 = 2.0;
-
 /// Time from which an attempt counts as slow, as a multiple of the typical latency.
 const SLOW_RATIO: f64 = 3.0;
 
@@ -440,52 +435,6 @@
         self.retry_or_refuse(now, request, fingerprint, &completion, added_load, actions);
     }
 
-    /// Retries a request if that is permitted, and refuses it otherwise. Only a retry after an attempt
-    /// that added load to the service draws on the budget.
-    fn retry_or_refuse(
-        &mut self,
-        now: time::Time,
-        request: handle::Request,
-        fingerprint: Option<handle::Fingerprint>,
-        completion: &Completion,
-        added_load: bool,
-        actions: &mut Vec<action::Action>,
-    ) {
-        let Some(pending) = self.requests.get(&request).cloned() else {
-            return;
-        };
-        let arrival = pending.arrival;
-        let quarantined = |f| self.poison.quarantined_until(now, f).is_some();
-        let is_poison = fingerprint.is_some_and(quarantined);
-        let may_retry = completion.replayable
-            && (arrival.repeatable || !pending.may_have_run)
-            && !is_poison
-            && now < arrival.deadline;
-        let target =
-            if may_retry && (!added_load || self.budget.allows_retry(now, self.daemon_count())) {
-                self.select_target(now, &pending)
-            } else {
-                None
-            };
-        if let Some(target) = target {
-            if added_load {
-                self.budget.record_retry(now);
-            }
-            self.send_to(now, request, target, actions);
-            return;
-        }
-        let reason = match completion.outcome {
-            _ if is_poison => outcome::Reason::Poison,
-            outcome::Outcome::Timeout => outcome::Reason::Timeout,
-            _ if pending.may_have_run && !arrival.repeatable => outcome::Reason::Unknown,
-            outcome::Outcome::Shed { .. } => outcome::Reason::Overload,
-            // No attempt was executed: the refusal says so and carries a retry delay.
-            _ if !pending.may_have_run => outcome::Reason::NoServer,
-            _ => outcome::Reason::Exhausted,
-        };
-        self.refuse(now, request, reason, actions);
-    }
-
     /// Records attempts in flight that have become slow, and hedges requests.
     fn tick(&mut self, now: time::Time, actions: &mut Vec<action::Action>) {
         if !self.poison.is_empty() {
@@ -510,42 +459,4 @@
             self.hedge(now, request, age, actions);
         }
     }
-
-    /// Sends a second attempt of a repeatable request if its only attempt, which has been in flight
-    /// for `age`, is old enough.
-    fn hedge(
-        &mut self,
-        now: time::Time,
-        request: handle::Request,
-        age: Duration,
-        actions: &mut Vec<action::Action>,
-    ) {
-        let Some(pending) = self.requests.get(&request) else {
-            return;
-        };
-        let arrival = &pending.arrival;
-        let suspected = |f| self.poison.is_suspected(f) || self.path.may_have_crashed(f);
-        let hedge_after = self
-            .latency_objective(arrival)
-            .mul_f64(HEDGE_OBJECTIVE_RATIO);
-        let hedge_after = hedge_after.max(self.typical_latency().mul_f64(HEDGE_LATENCY_RATIO));
-        let may_hedge = arrival.repeatable
-            && pending.attempts.len() == 1
-            && age >= hedge_after
-            && now < arrival.deadline
-            && !arrival.fingerprint.is_some_and(suspected);
-        if !may_hedge || !self.budget.allows_retry(now, self.daemon_count()) {
-            return;
-        }
-        let pending = pending.clone();
-        let target = match self.is_silent(now) {
-            // Another path is tried as well as another server.
-            true => self.select_target_avoiding_path(now, &pending),
-            false => self.select_target(now, &pending),
-        };
-        if let Some(target) = target {
-            self.budget.record_retry(now);
-            self.send_to(now, request, target, actions);
-        }
-    }
 }
--- a/crates/proxy/src/exchange.rs
+++ b/crates/proxy/src/exchange.rs
@@ -1,5 +1,6 @@
 //! One exchange with a backend server, up to the response head.
 
+mod buffering;
 pub mod relayed;
 
 use std::collections::VecDeque;
@@ -12,7 +13,6 @@
 use bytes::Bytes;
 use http::{HeaderValue, header as names};
 use http_body::Body as _;
-use http_body_util::BodyExt as _;
 use hyper::body::Incoming;
 use hyper::client::conn::TrySendError;
 use monsooncart_policy::outcome;
@@ -20,13 +20,6 @@
 
 use crate::{announcement, attempt, common, gate, header, host_routing, link, payload, server};
 
-/// Bytes at the beginning of a response that are buffered before it is forwarded, so that a
-/// repeatable request can be retried if the response ends within them.
-const RETRY_BUFFER_BYTES: u64 = 64 << 10;
-
-/// Maximum response body that is buffered whole with host routing; a larger one is streamed.
-const MAX_BUFFERED_BODY_BYTES: u64 = 1 << 20;
-
 /// Parameters of an exchange.
 pub struct Call {
     /// Whether the connection must be new or within the pool's freshness window.
@@ -192,10 +185,10 @@
         rest,
     };
     match (&common.host_headers, call.buffer_prefix) {
-        (Some(_), _) => buffer_body(&mut reply, call.deadline).await?,
+        (Some(_), _) => buffering::buffer_body(&mut reply, call.deadline).await?,
         (None, true) => {
             let stall_timeout = common.limits().body_timeout.0;
-            buffer_prefix(&mut reply, stall_timeout, call.deadline).await?;
+            buffering::buffer_prefix(&mut reply, stall_timeout, call.deadline).await?;
         }
         (None, false) => {}
     }
@@ -462,51 +455,3 @@
         }
     }
 }
-
-/// Buffers a body up to [`MAX_BUFFERED_BODY_BYTES`], so that a truncated or late response is
-/// detected before the caller receives a byte of it.
-async fn buffer_body(reply: &mut Reply, deadline: Instant) -> Result<(), Failure> {
-    let mut buffered_bytes = 0;
-    while buffered_bytes < MAX_BUFFERED_BODY_BYTES && !reply.rest.is_end_stream() {
-        let frame = match timeout_at(deadline, reply.rest.frame()).await {
-            Ok(None) => return Ok(()),
-            Ok(Some(Ok(frame))) => frame,
-            Ok(Some(Err(error))) => return Err(classify_error(&error).into()),
-            Err(_) => return Err(outcome::Outcome::Timeout.into()),
-        };
-        if let Ok(data) = frame.into_data() {
-            buffered_bytes += data.len() as u64;
-            reply.prefix.push_back(data);
-        }
-    }
-    Ok(())
-}
-
-/// Buffers the beginning of a body of known length, up to [`RETRY_BUFFER_BYTES`].
-///
-/// Stops at the deadline for the head and leaves the rest to be streamed.
-async fn buffer_prefix(
-    reply: &mut Reply,
-    stall_timeout: Duration,
-    deadline: Instant,
-) -> Result<(), Failure> {
-    if reply.rest.size_hint().exact().is_none() {
-        return Ok(());
-    }
-    let mut buffered_bytes = 0;
-    while buffered_bytes < RETRY_BUFFER_BYTES && !reply.rest.is_end_stream() {
-        let stall_deadline = Instant::now() + stall_timeout;
-        let frame = match timeout_at(stall_deadline.min(deadline), reply.rest.frame()).await {
-            Ok(None) => return Ok(()),
-            Ok(Some(Ok(frame))) => frame,
-            Ok(Some(Err(error))) => return Err(classify_error(&error).into()),
-            Err(_) if Instant::now() >= deadline => return Ok(()),
-            Err(_) => return Err(outcome::Outcome::Timeout.into()),
-        };
-        if let Ok(data) = frame.into_data() {
-            buffered_bytes += data.len() as u64;
-            reply.prefix.push_back(data);
-        }
-    }
-    Ok(())
-}
--- a/crates/proxy/src/exchange/relayed.rs
+++ b/crates/proxy/src/exchange/relayed.rs
@@ -1,12 +1,16 @@
 //! An exchange with a daemon that relays the request.
 
+use std::collections::VecDeque;
+use std::io;
 use std::sync::Arc;
 
 use http::header as names;
+use http_body::Body as _;
+use hyper::body::Incoming;
 use monsooncart_policy::outcome;
 use tokio::time::{Instant, timeout_at};
 
-use super::{Call, Failure, Reply, buffer_body, closes_connection, matches_attempt, send};
+use super::{Call, Failure, Reply, buffering, closes_connection, matches_attempt, send};
 use crate::{common, header, link, relay};
 
 /// Has `peer` send a request to at most `max_attempts` servers, and waits for the response.
@@ -49,7 +53,7 @@
     let error = match timeout_at(deadline, opening).await {
         Ok(Ok(connection)) => return Ok(connection),
         Ok(Err(error)) => error,
-        Err(_) => std::io::ErrorKind::TimedOut.into(),
+        Err(_) => io::ErrorKind::TimedOut.into(),
     };
     log::info!(relay:% = peer.name, error:%; "path: could not connect to relay");
     Err(outcome::Outcome::Unsent.into())
@@ -75,7 +79,7 @@
         Some(relay::Responder::Relay) => {
             if header::is_not_run(&head.headers) {
                 tracker.refused = true;
-                if rest_is_complete(call, &rest) && !closes_connection(&head) {
+                if is_complete(call, &rest) && !closes_connection(&head) {
                     peer.pool.put(connection, common.clock.now());
                 }
                 return Err(Failure {
@@ -89,17 +93,16 @@
     let mut reply = Reply {
         connection: Some(connection),
         head,
-        prefix: std::collections::VecDeque::new(),
+        prefix: VecDeque::new(),
         rest,
     };
     reply.head.headers.remove(relay::HEADER);
     reply.head.headers.remove(names::CONNECTION);
-    buffer_body(&mut reply, call.deadline).await?;
+    buffering::buffer_body(&mut reply, call.deadline).await?;
     Ok(reply)
 }
 
 /// Whether neither side has more of its body to send.
-fn rest_is_complete(call: &Call, rest: &hyper::body::Incoming) -> bool {
-    use http_body::Body as _;
+fn is_complete(call: &Call, rest: &Incoming) -> bool {
     call.request_body.is_complete() && rest.is_end_stream()
 }
--- a/crates/proxy/src/pass.rs
+++ b/crates/proxy/src/pass.rs
@@ -1,5 +1,7 @@
 //! Forwards one request: carries out the policy's commands until there is a response.
 
+mod relayed;
+
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -13,7 +15,7 @@
 
 use crate::{
     account, activity, attempt, body, common, decision, exchange, forwarded, header, payload,
-    problem, relay, response_sizes, server, service, target, trace,
+    problem, response_sizes, server, service, target, trace,
 };
 
 struct FinishedAttempt {
@@ -233,47 +235,6 @@
         })
     }
 
-    fn start_relayed_attempt(
-        &mut self,
-        id: handle::Attempt,
-        peer: Arc<relay::Peer>,
-        max_attempts: u32,
-    ) -> BoxFuture<'static, FinishedAttempt> {
-        let started_millis = self.account.elapsed_millis();
-        let call = self.call(false);
-        let common = self.common.clone();
-        let service = self.service.clone();
-        let reporter = attempt::Attempt::relayed(service.clone(), id);
-        let repeatable = self.repeatable;
-        Box::pin(async move {
-            let result = match exchange::relayed::run(&common, &call, &peer, max_attempts).await {
-                Ok(reply) => {
-                    report_relayed_leaving(&common, &service, &reply.head.headers);
-                    if repeatable && is_retryable_error(&reply) {
-                        Err(withhold_error(reply, reporter, &call))
-                    } else {
-                        Ok((reply, reporter))
-                    }
-                }
-                Err(failure) => {
-                    let replayable = call.is_replayable();
-                    reporter.finish(failure.outcome, replayable, failure.retry_after);
-                    Err(FailedAttempt {
-                        outcome: failure.outcome,
-                        error: None,
-                    })
-                }
-            };
-            FinishedAttempt {
-                id,
-                grounds: "relay".to_owned(),
-                target: target::Target::Relay(peer),
-                started_millis,
-                result,
-            }
-        })
-    }
-
     /// Records the result of an attempt and returns its response, if there is one to forward.
     fn finish_attempt(
         &mut self,
@@ -468,23 +429,6 @@
     headers.get(header::SERVER)?.to_str().ok()?.parse().ok()
 }
 
-/// Records that a server announced its leaving in a relayed response.
-fn report_relayed_leaving(
-    common: &common::Common,
-    service: &Arc<service::Service>,
-    headers: &http::HeaderMap,
-) {
-    let Some(host_headers) = &common.host_headers else {
-        return;
-    };
-    let is_leaving = headers
-        .get(&host_headers.leaving)
-        .is_some_and(|value| value == "1");
-    if let Some(server) = named_server(headers).filter(|_| is_leaving) {
-        service.report_relayed_leaving(&server);
-    }
-}
-
 /// Retry delay for a request that reached its deadline while queued.
 const DEADLINE_RETRY_AFTER: Duration = Duration::from_secs(1);
 
