Relay a request whose head has the largest size

The header by which a relay learns how many attempts are allowed counted towards the size of the head, so that a head of the largest size was refused with 503. It is taken out before the check. The test failed before.

--- a/crates/proxy/src/request.rs
+++ b/crates/proxy/src/request.rs
@@ -117,11 +117,16 @@
         mut request: http::Request<Incoming>,
         in_flight: &mut Option<activity::InFlight>,
     ) -> Result<Response, problem::Problem> {
+        // Taken first, so that it does not count towards the size of the head.
+        let allowed_attempts = match self.origin {
+            Origin::Caller => u32::MAX,
+            Origin::Relay => options::take_allowed_attempts(request.headers_mut()),
+        };
         options::check_head(self.shared, &request)?;
         if let Some(host_headers) = &self.shared.common.host_headers {
             let mut options = options::resolve_by_host(self.shared, host_headers, &request)?;
+            options.max_attempts = options.max_attempts.min(allowed_attempts);
             if self.origin == Origin::Relay {
-                options.limit_attempts(request.headers_mut());
                 self.shared.common.metrics.received_for_relay.inc();
             }
             return self.forward(request, options, None, in_flight).await;
--- a/crates/proxy/src/request/options.rs
+++ b/crates/proxy/src/request/options.rs
@@ -40,15 +40,13 @@
     pub deadline: Instant,
 }
 
-impl Options {
-    /// Takes the number of attempts that the requesting daemon allows from the headers of a relayed
-    /// request.
-    pub fn limit_attempts(&mut self, headers: &mut http::HeaderMap) {
-        let allowed = header::parse_number(headers, &relay::HEADER);
-        headers.remove(relay::HEADER);
-        let allowed = allowed.and_then(|allowed| u32::try_from(allowed).ok());
-        self.max_attempts = self.max_attempts.min(allowed.unwrap_or(1));
-    }
+/// Takes the number of attempts that the requesting daemon allows from the headers of a relayed
+/// request; one if it is missing or malformed.
+pub fn take_allowed_attempts(headers: &mut http::HeaderMap) -> u32 {
+    let allowed = header::parse_number(headers, &relay::HEADER);
+    headers.remove(relay::HEADER);
+    let allowed = allowed.and_then(|allowed| u32::try_from(allowed).ok());
+    allowed.unwrap_or(1)
 }
 
 const DEFAULT_MAX_ATTEMPTS: u32 = 4;
--- a/crates/proxy/tests/all/relaying.rs
+++ b/crates/proxy/tests/all/relaying.rs
@@ -5,6 +5,7 @@
 
 use http::StatusCode;
 use http_body_util::BodyExt as _;
+use monsooncart_config::routing;
 
 use crate::scripted::{ScriptedServer, Step, host_response};
 use crate::{fakes, fixture};
@@ -73,6 +74,29 @@
     assert!(response.body == body, "{} bytes", response.body.len());
 }
 
+/// Guards against a request that a relay rejects for the headers that relaying adds.
+#[tokio::test]
+async fn head_of_the_largest_size_is_relayed() {
+    let server = ScriptedServer::start(respond_with(b"whole")).await;
+    let (daemon, _relay) = start(&server).await;
+    let mut request = fixture::host_request("POST", "/orders/1");
+    let headers = request.headers_mut();
+    headers.insert("x-deadline", "99000".parse().unwrap());
+    headers.insert("content-length", "0".parse().unwrap());
+    let line_bytes = |(name, value): (&http::HeaderName, &http::HeaderValue)| {
+        name.as_str().len() + value.len() + 4
+    };
+    let known_bytes = "/orders/1".len() + headers.iter().map(line_bytes).sum::<usize>();
+    let limit = usize::try_from(routing::Limits::default().head.0).unwrap();
+    let filling = "f".repeat(limit - known_bytes - "x-fill".len() - 4);
+    headers.insert("x-fill", filling.parse().unwrap());
+
+    let response = fixture::send(daemon.address, request).await;
+
+    assert_eq!(response.status, StatusCode::OK);
+    assert_eq!(server.heads(), 1);
+}
+
 /// Guards against "not run" that a relay's refusal does not bear out.
 #[tokio::test]
 async fn refusal_by_the_servers_of_the_relay_is_reported_as_not_run() {
