--- a/crates/policy/src/path.rs
+++ b/crates/policy/src/path.rs
@@ -1,4 +1,4 @@
-//! This daemon's network path to the servers of a service, as a thing apart from the servers.
+//! Belief about this daemon's network path to the servers of a service, apart from the servers.
 //!
 //! An attempt that ends without any response from the server may be the fault of the server or of
 //! the daemon's own path to it. One such failure alone does not tell which. Failures at several
@@ -19,7 +19,7 @@
 /// Age at which a failure no longer counts for a lost path.
 const FAILURE_LIFETIME: Duration = Duration::from_secs(5);
 
-/// Interval between probes while the path is lost or no server responds.
+/// Interval between probes while the path is lost or in doubt.
 const PROBE_INTERVAL: Duration = Duration::from_millis(500);
 
 /// Number of servers probed at once, so that one server that is down does not decide.
@@ -61,15 +61,9 @@
         self.lost_since.is_some()
     }
 
-    /// Time at which the path was taken for lost, if it is.
+    /// Whether the path is lost, or a server other than `server` failed and none has responded since.
     #[must_use]
-    pub fn lost_since(&self) -> Option<time::Time> {
-        self.lost_since
-    }
-
-    /// Whether a server other than `server` failed and none has responded since.
-    #[must_use]
-    pub fn is_doubted_beside(&self, server: handle::Server) -> bool {
+    pub fn is_doubted_apart_from(&self, server: handle::Server) -> bool {
         self.is_lost() || self.failures.iter().any(|f| f.server != server)
     }
 
@@ -78,7 +72,7 @@
     pub fn record_failure(&mut self, failure: Failure, server_count: usize) -> bool {
         let now = failure.failed_at;
         if failure.sent_at < self.proven_at {
-            // It was sent while the path was lost, which it is no longer.
+            // The path has come back since it was sent.
             return false;
         }
         self.failures
@@ -126,12 +120,13 @@
         }
     }
 
-    /// Whether to probe servers now; `silent` if attempts wait with no response from any server.
-    pub fn take_probe(&mut self, now: time::Time, silent: bool) -> bool {
+    /// Whether to probe servers now: probes are due, and the path is lost or `in_doubt`. Starts the
+    /// next interval if so.
+    pub fn take_probe(&mut self, now: time::Time, in_doubt: bool) -> bool {
         let is_due = self
             .probed_at
             .is_none_or(|probed_at| now.since(probed_at) >= PROBE_INTERVAL);
-        if !is_due || !(silent || self.is_lost()) {
+        if !is_due || !(in_doubt || self.is_lost()) {
             return false;
         }
         self.probed_at = Some(now);
--- a/crates/policy/src/selector/path_loss.rs
+++ b/crates/policy/src/selector/path_loss.rs
@@ -32,7 +32,7 @@
         if self.path.is_lost() && pending.arrival.relayed {
             return None;
         }
-        let is_doubted = |server: &handle::Server| self.path.is_doubted_beside(*server);
+        let is_doubted = |server: &handle::Server| self.path.is_doubted_apart_from(*server);
         if self.path.is_lost() || pending.unreachable_servers.iter().any(is_doubted) {
             return self.select_target_avoiding_path(now, pending);
         }
@@ -89,6 +89,7 @@
             return;
         };
         let attempts_left = self.attempts_left(pending);
+        // One attempt of a repeatable request is kept for a retry through another relay.
         let max_attempts = match pending.arrival.repeatable {
             true => attempts_left.saturating_sub(1).max(1),
             false => attempts_left,
@@ -200,7 +201,8 @@
         }
     }
 
-    /// Records that the path was there when a connection was opened.
+    /// Records that the path was there when a connection was opened, and attributes the failures before
+    /// that to their servers.
     pub(super) fn record_path(
         &mut self,
         now: time::Time,
