--- a/crates/config/src/parse/settings.rs
+++ b/crates/config/src/parse/settings.rs
@@ -187,6 +187,7 @@
         "grace",
         "lifetime_max",
         "retries",
+        "cover_servers",
     ];
     let fields = reader.read_fields(node, GATEWAY, known)?;
     let directory = parse_listener(reader, &fields, "directory", LISTENER, listeners);
@@ -212,6 +213,10 @@
     let lifetime_max = lifetime_max.and_then(|node| super::parse_span(reader, &node));
     let retries = reader.require_field(&fields, "retries", RETRIES);
     let retries = retries.and_then(|node| parse_retry_budget(reader, &node));
+    let cover_servers = match fields.get("cover_servers") {
+        Some(node) => reader.read_bool(&node)?,
+        None => false,
+    };
     Some(settings::Gateway {
         directory: directory?,
         readiness: readiness?,
@@ -222,6 +227,7 @@
         grace: grace?,
         lifetime_max: lifetime_max?,
         retries: retries?,
+        cover_servers,
     })
 }
 
--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -62,6 +62,8 @@
     pub lifetime_max: span::Span,
     /// Retry budget of each service.
     pub retries: RetryBudget,
+    /// Whether healthy servers are kept in use while many requests fail.
+    pub cover_servers: bool,
 }
 
 /// Retry budget of a service: the number of retries that all daemons together may send.
--- a/crates/daemon/src/components.rs
+++ b/crates/daemon/src/components.rs
@@ -110,6 +110,7 @@
             Some(gateway) => Arc::new(policies::Selector {
                 instance: self.core.instance,
                 retries: gateway::retry_limits(gateway),
+                covers_servers: gateway.cover_servers,
             }),
             None => Arc::new(policies::Balancer {
                 instance: self.core.instance,
--- a/crates/daemon/src/policies.rs
+++ b/crates/daemon/src/policies.rs
@@ -30,13 +30,16 @@
     pub instance: instance::Instance,
     /// Retry budget of a service across all daemons.
     pub retries: selector::budget::Limits,
+    /// Whether healthy servers are kept in use while many requests fail.
+    pub covers_servers: bool,
 }
 
 impl interface::Policies for Selector {
     fn create_policy(&self, _service: &id::Service) -> Box<dyn service::Policy> {
         let config = selector::Config::new(rand::random())
             .instance(self.instance)
-            .retries(self.retries);
+            .retries(self.retries)
+            .covers_servers(self.covers_servers);
         Box::new(config.build())
     }
 }
--- a/crates/policy/src/selector.rs
+++ b/crates/policy/src/selector.rs
@@ -16,6 +16,7 @@
 mod choice;
 mod config;
 mod cost;
+mod coverage;
 mod evidence;
 mod in_flight;
 mod path_loss;
@@ -86,6 +87,7 @@
     in_flight: map::Map<handle::Attempt, in_flight::Attempt>,
     attempts_sent: u64,
     budget: budget::Budget,
+    coverage: coverage::Coverage,
     poison: poison::Detector,
     /// Running mean of the time to a complete response; `None` before the first one.
     mean_latency: Option<Duration>,
@@ -369,6 +371,7 @@
         let Some(pending) = self.requests.remove(&request) else {
             return;
         };
+        self.coverage.record(now, false);
         let execution = if pending.may_have_run || !pending.attempts.is_empty() {
             outcome::Execution::Unknown
         } else {
@@ -420,6 +423,10 @@
         if let outcome::Outcome::Answered(_) | outcome::Outcome::Cancelled = completion.outcome {
             let others = std::mem::take(&mut pending.attempts);
             self.requests.remove(&in_flight.request);
+            if let outcome::Outcome::Answered(status) = completion.outcome {
+                let is_served = status < evidence::MIN_FAILURE_STATUS;
+                self.coverage.record(now, is_served);
+            }
             self.cancel_attempts(&others, actions);
             return;
         }
--- a/crates/policy/src/selector/choice.rs
+++ b/crates/policy/src/selector/choice.rs
@@ -5,7 +5,7 @@
 use monsooncart_types::time;
 use rand::RngExt as _;
 
-use super::{Pending, Selector, cost, server};
+use super::{Pending, Selector, cost, coverage, server};
 use crate::event;
 
 /// Difference in cost up to which servers count as equal, so that daemons do not all select the
@@ -56,6 +56,9 @@
             server.start_rate_limit_interval(now, &self.fleet);
         }
         let costs = self.costs(now, pending);
+        if let Some(index) = self.select_idle_server(now, pending, &costs) {
+            return Some(index);
+        }
         let retryable = arrival.repeatable && attempts_left > 1 && pending.tried_servers.is_empty();
         let retryable = retryable && self.budget.allows_retry(now, self.daemon_count());
         let (best, second) = two_lowest(costs.iter().map(|(_, cost)| cost.without_retry()));
@@ -84,6 +87,28 @@
             .copied()
     }
 
+    /// Selects the server that has been without an attempt for longest, if so many requests fail that
+    /// it must be used.
+    fn select_idle_server(
+        &self,
+        now: time::Time,
+        pending: &Pending,
+        costs: &[(usize, cost::Cost)],
+    ) -> Option<usize> {
+        let is_first = pending.tried_servers.is_empty();
+        if !is_first || !self.coverage.is_needed(now, self.daemon_count()) {
+            return None;
+        }
+        let idle_time = |(index, cost): &(usize, cost::Cost)| {
+            let idle_time = self.servers[*index].idle_time(now)?;
+            let is_due = idle_time >= coverage::IDLE_TIME;
+            let is_due = is_due && cost.failure_probability <= coverage::MAX_RISK;
+            is_due.then_some((idle_time, *index))
+        };
+        let (_, index) = costs.iter().filter_map(idle_time).max()?;
+        Some(index)
+    }
+
     /// Index and cost of each server that the request may be sent to.
     fn costs(&self, now: time::Time, pending: &Pending) -> Vec<(usize, cost::Cost)> {
         let arrival = &pending.arrival;
--- a/crates/policy/src/selector/config.rs
+++ b/crates/policy/src/selector/config.rs
@@ -6,7 +6,7 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
-use crate::selector::{Selector, budget, rate_limit, relay};
+use crate::selector::{Selector, budget, coverage, rate_limit, relay};
 use crate::{path, poison};
 
 /// Builds a [`Selector`].
@@ -14,6 +14,7 @@
 pub struct Config {
     pub(super) instance: instance::Instance,
     retries: budget::Limits,
+    covers_servers: bool,
     seed: u64,
 }
 
@@ -24,6 +25,7 @@
         Self {
             instance: instance::Instance(seed),
             retries: budget::Limits::default(),
+            covers_servers: false,
             seed,
         }
     }
@@ -42,6 +44,13 @@
         self
     }
 
+    /// Sets whether healthy servers are kept in use while many requests fail.
+    #[must_use]
+    pub fn covers_servers(mut self, covers_servers: bool) -> Self {
+        self.covers_servers = covers_servers;
+        self
+    }
+
     /// Builds a selector without servers.
     #[must_use]
     pub fn build(self) -> Selector {
@@ -54,6 +63,7 @@
             in_flight: map::Map::default(),
             attempts_sent: 0,
             budget: budget::Budget::new(self.retries),
+            coverage: coverage::Coverage::new(self.covers_servers),
             poison: poison::Detector::default(),
             mean_latency: None,
             mean_service_time: None,
--- /dev/null
+++ b/crates/policy/src/selector/coverage.rs
@@ -0,0 +1,99 @@
+//! Keeps healthy servers in use while many requests fail.
+//!
+//! Unrepeatable requests go to servers with a recent success. When demand is low and many servers are
+//! in doubt, those that are trusted carry all requests, and healthy ones of which nothing is known
+//! stay without any. While a considerable share of the requests fails, requests therefore go to the
+//! server of this data centre that has been without one for longest.
+
+use std::time::Duration;
+
+use monsooncart_types::time;
+
+/// Share of failed requests from which servers are kept in use.
+const FAILURE_THRESHOLD: f64 = 0.05;
+
+/// As [`FAILURE_THRESHOLD`], of all daemons. Higher, as the failures that peers report include those
+/// of requests that a retry served.
+const FLEET_FAILURE_THRESHOLD: f64 = 0.08;
+
+/// Time constant of the exponential decay of the counts.
+const DECAY_TIME: Duration = Duration::from_secs(1);
+
+/// Number of requests below which a share of them means nothing.
+const MIN_REQUESTS: f64 = 5.0;
+
+/// Time without an attempt after which a server is due for one, so that every server can have one in
+/// each two seconds.
+pub const IDLE_TIME: Duration = Duration::from_millis(1200);
+
+/// Probability of failure above which a server is not given a request for the sake of its use.
+pub const MAX_RISK: f64 = 0.45;
+
+/// A count that decays.
+#[derive(Clone, Copy, Debug, Default)]
+struct Count {
+    value: f64,
+    updated_at: time::Time,
+}
+
+impl Count {
+    fn at(&self, now: time::Time) -> f64 {
+        let age = now.since(self.updated_at).div_duration_f64(DECAY_TIME);
+        self.value * (-age).exp()
+    }
+
+    fn add(&mut self, now: time::Time, number: f64) {
+        self.value = self.at(now) + number;
+        self.updated_at = now;
+    }
+}
+
+/// Recent results of requests.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Coverage {
+    is_enabled: bool,
+    completed: Count,
+    failed: Count,
+    failed_at_peers: Count,
+}
+
+impl Coverage {
+    /// Creates a coverage without results, which never asks for anything unless it is enabled.
+    #[must_use]
+    pub fn new(is_enabled: bool) -> Self {
+        Self {
+            is_enabled,
+            ..Self::default()
+        }
+    }
+
+    /// Records the final result of a request.
+    pub fn record(&mut self, now: time::Time, is_served: bool) {
+        self.completed.add(now, 1.0);
+        if !is_served {
+            self.failed.add(now, 1.0);
+        }
+    }
+
+    /// Records failed attempts that a peer reported.
+    pub fn record_peer_failures(&mut self, now: time::Time, failures: u32) {
+        self.failed_at_peers.add(now, f64::from(failures));
+    }
+
+    /// Whether so many requests fail that idle servers must be used, given that `daemons` share the
+    /// traffic.
+    #[must_use]
+    pub fn is_needed(&self, now: time::Time, daemons: u32) -> bool {
+        if !self.is_enabled {
+            return false;
+        }
+        let completed = self.completed.at(now);
+        if completed < MIN_REQUESTS {
+            return false;
+        }
+        let failed = self.failed.at(now);
+        let fleet = f64::from(daemons.max(1)) * completed;
+        failed >= FAILURE_THRESHOLD * completed
+            || failed + self.failed_at_peers.at(now) >= FLEET_FAILURE_THRESHOLD * fleet
+    }
+}
--- a/crates/policy/src/selector/server.rs
+++ b/crates/policy/src/selector/server.rs
@@ -94,6 +94,8 @@
     belief: belief::Belief,
     /// Time of the last evidence, or of the last attempt, which will yield evidence.
     last_evidence_at: time::Time,
+    /// Time of the last known attempt of this daemon or a peer.
+    last_attempt_at: time::Time,
     in_flight: u32,
     peer_loads: map::Map<instance::Instance, PeerLoad>,
     /// When the backoff after refusals and failed connections ends.
@@ -130,6 +132,7 @@
             limiter: None,
             belief: belief::Belief::new(now),
             last_evidence_at: time::Time::ZERO,
+            last_attempt_at: time::Time::ZERO,
             in_flight: 0,
             peer_loads: map::Map::default(),
             backoff_ends_at: time::Time::ZERO,
@@ -284,9 +287,16 @@
             limiter.record_sent();
         }
         self.last_evidence_at = now;
+        self.last_attempt_at = now;
         self.digest_changed = true;
     }
 
+    /// Time since the last known attempt; `None` if the server is remote, as not all attempts at remote
+    /// servers are known.
+    pub fn idle_time(&self, now: time::Time) -> Option<Duration> {
+        self.spec.local.then(|| now.since(self.last_attempt_at))
+    }
+
     /// Records that an attempt finished, with any result.
     pub fn record_finished(&mut self) {
         self.in_flight = self.in_flight.saturating_sub(1);
@@ -356,6 +366,9 @@
         for _ in 0..digest.bad.min(MAX_REPORTED_RESULTS) {
             self.observe(now, belief::Observation::Failure);
         }
+        if digest.in_flight + digest.good + digest.bad > 0 {
+            self.last_attempt_at = now;
+        }
         let load = PeerLoad {
             in_flight: digest.in_flight,
             received_at: now,
--- a/crates/policy/tests/selector/fixture.rs
+++ b/crates/policy/tests/selector/fixture.rs
@@ -82,7 +82,11 @@
         window: Duration::from_secs(10),
     };
     let mut harness = Harness {
-        policy: Config::new(seed).instance(INSTANCE).retries(limits).build(),
+        policy: Config::new(seed)
+            .instance(INSTANCE)
+            .retries(limits)
+            .covers_servers(true)
+            .build(),
         now: time::Time::from_millis(60_000),
         requests: 0,
     };
--- a/crates/policy/tests/selector/main.rs
+++ b/crates/policy/tests/selector/main.rs
@@ -3,6 +3,7 @@
 mod belief;
 mod budget;
 mod choice;
+mod coverage;
 mod fixture;
 mod invariants;
 mod outcomes;
