Authenticate callers by the keys of their organisations

Change: the routing says who may send requests. Its parts carry organisations with digests of their keys behind what the first release encodes, so that both releases read each other's parts; what the first one leaves out is unknown, not open. A daemon authenticates what it receives, replaces the key by the organisation's name, and trusts that name only from a daemon that has a request relayed. An organisation's priority goes before the route's. A whole routing is no longer sent inline.

--- a/benches/routing.rs
+++ b/benches/routing.rs
@@ -33,6 +33,7 @@
             service: parse(&format!("service-{}", number / ROUTES_PER_SERVICE)),
             weight: 1.0,
         }],
+        open: false,
     }
 }
 
@@ -47,6 +48,7 @@
         limits: routing::Limits::default(),
         routes: (0..routes).map(route).collect(),
         services: (0..routes / ROUTES_PER_SERVICE).map(service).collect(),
+        access: routing::access::Access::Open,
     }
 }
 
--- a/crates/cluster/src/spread/watch.rs
+++ b/crates/cluster/src/spread/watch.rs
@@ -345,7 +345,9 @@
             let is_small = |v: &monsooncart_config::object::Value| {
                 frame::encode(v).is_ok_and(|bytes| bytes.len() <= MAX_INLINE_BYTES)
             };
-            let value = value.filter(is_small);
+            // The encoding of a whole routing has no organisations; its parts do.
+            let is_inlined = key != monsooncart_config::object::Key::Routing;
+            let value = value.filter(|v| is_inlined && is_small(v));
             announcements.push(update::Update::Configuration {
                 key,
                 version,
--- a/crates/cluster/tests/engine/routing.rs
+++ b/crates/cluster/tests/engine/routing.rs
@@ -26,6 +26,7 @@
             service: "wiredesk".parse().unwrap(),
             weight: 1.0,
         }],
+        open: false,
     }
 }
 
@@ -35,6 +36,7 @@
         limits: routing::Limits::default(),
         routes: (0..routes).map(route).collect(),
         services: Vec::new(),
+        access: routing::access::Access::Open,
     }
 }
 
--- a/crates/config/src/routing.rs
+++ b/crates/config/src/routing.rs
@@ -3,6 +3,8 @@
 //! A request is matched by its host and the longest prefix of its path. Its route refers to one
 //! service, or to several with weights.
 
+pub mod access;
+pub mod digest;
 pub mod part;
 
 use monsooncart_types::{id, map, size, span};
@@ -19,6 +21,9 @@
     pub routes: Vec<Route>,
     /// Services that the routes refer to.
     pub services: Vec<Service>,
+    /// Who may send requests. Not part of the encoding of the first release, see [`part`].
+    #[serde(skip, default = "access::Access::unknown")]
+    pub access: access::Access,
 }
 
 /// Limits of callers' requests and connections.
@@ -69,6 +74,10 @@
     pub priority: u32,
     /// Services that receive its requests.
     pub targets: Vec<Target>,
+    /// Whether callers need no key, although others do. Not part of the encoding of the first
+    /// release, see [`part`].
+    #[serde(skip)]
+    pub open: bool,
 }
 
 /// A service that receives a share of a route's requests.
--- a/crates/config/src/snapshot.rs
+++ b/crates/config/src/snapshot.rs
@@ -26,6 +26,7 @@
     versions: Arc<map::Map<object::Key, u64>>,
     routing: Arc<routing::Routing>,
     route_table: Arc<routing::Table>,
+    access_index: Arc<routing::access::Index>,
     registry: Arc<registry::Registry>,
 }
 
@@ -91,6 +92,26 @@
         self.routing.routes.get(index)
     }
 
+    /// The organisation that a key of the routing belongs to.
+    #[must_use]
+    pub fn routing_organisation(
+        &self,
+        key: &routing::digest::Digest,
+    ) -> Option<&routing::access::Organisation> {
+        let index = self.access_index.find_key(key)?;
+        self.routing.access.organisations().get(index)
+    }
+
+    /// The organisation of the routing with this name.
+    #[must_use]
+    pub fn routing_organisation_by_name(
+        &self,
+        name: &id::Organisation,
+    ) -> Option<&routing::access::Organisation> {
+        let index = self.access_index.find_name(name)?;
+        self.routing.access.organisations().get(index)
+    }
+
     /// Version of an object; `None` if it is not in the snapshot.
     #[must_use]
     pub fn version(&self, key: &object::Key) -> Option<u64> {
@@ -200,6 +221,7 @@
     fn set_routing(&mut self, routing: routing::Routing) {
         let old = std::mem::replace(&mut self.routing, Arc::new(routing));
         self.route_table = Arc::new(routing::Table::new(&self.routing));
+        self.access_index = Arc::new(routing::access::Index::new(&self.routing.access));
         let names = old.services.iter().chain(&self.routing.services);
         let names: std::collections::BTreeSet<_> = names.map(|s| s.name.clone()).collect();
         for name in names {
--- a/crates/config/tests/parts.rs
+++ b/crates/config/tests/parts.rs
@@ -1,8 +1,8 @@
 //! Parts of a routing: splitting and joining, and what two versions have in common.
 
 use bytes::Bytes;
-use monsooncart_config::routing::{self, part};
-use monsooncart_types::map;
+use monsooncart_config::routing::{self, access, part};
+use monsooncart_types::{map, rate};
 
 fn route(number: usize) -> routing::Route {
     routing::Route {
@@ -18,6 +18,7 @@
             service: format!("service-{}", number % 7).parse().expect("a name"),
             weight: 1.0,
         }],
+        open: false,
     }
 }
 
@@ -32,6 +33,7 @@
         limits: routing::Limits::default(),
         routes: (0..routes).map(route).collect(),
         services: (0..7).map(service).collect(),
+        access: access::Access::Open,
     }
 }
 
@@ -110,3 +112,86 @@
     assert_eq!(digest.to_string().parse(), Ok(digest));
     assert!("zz".parse::<part::Digest>().is_err());
 }
+
+fn organisation(number: usize) -> access::Organisation {
+    access::Organisation {
+        name: format!("organisation-{number}").parse().expect("a name"),
+        keys: vec![part::Digest::of(&number.to_be_bytes())],
+        priority: number.is_multiple_of(2).then_some(1),
+        allowance: Some(access::Allowance {
+            rate: rate::Rate(number as f64),
+            burst: 10.0,
+        }),
+    }
+}
+
+/// A routing with organisations and an open route.
+fn routing_with_keys() -> routing::Routing {
+    let mut routing = routing(100);
+    routing.routes[70].open = true;
+    routing.access = access::Access::Keys((0..200).map(organisation).collect());
+    routing
+}
+
+fn sorted_with_keys(routing: routing::Routing) -> routing::Routing {
+    let mut routing = sorted(routing);
+    if let access::Access::Keys(organisations) = &mut routing.access {
+        organisations.sort_by(|a, b| a.name.cmp(&b.name));
+    }
+    routing
+}
+
+#[test]
+fn organisations_and_open_routes_are_joined_from_parts() {
+    let original = routing_with_keys();
+
+    let joined = part::Parts::split(&original).join().expect("all parts");
+
+    assert_eq!(sorted_with_keys(joined), sorted_with_keys(original));
+}
+
+#[test]
+fn a_withdrawn_key_changes_one_part() {
+    let old = routing_with_keys();
+    let mut new = old.clone();
+    if let access::Access::Keys(organisations) = &mut new.access {
+        organisations[50].keys.clear();
+    }
+
+    let (old, new) = (part::Parts::split(&old), part::Parts::split(&new));
+
+    let digests = new.manifest().parts.iter();
+    assert_eq!(digests.filter(|d| old.content(d).is_none()).count(), 1);
+}
+
+/// A part as the first release encoded it: one route and one service, without organisations.
+const FIRST_RELEASE_PART: &str = "0107726f7574652d310e686f73742d312e6578616d706c65082f706174682d312f00000002010109\
+    736572766963652d31000000000000f03f0109736572766963652d310064";
+
+/// Guards against a part of the first release that is taken for one of a deployment without keys, and
+/// against a part of this release that the first one cannot read.
+#[test]
+fn parts_of_the_first_release_say_nothing_about_keys() {
+    let mut original = routing(2);
+    original.routes.remove(0);
+    original.routes[0].timeout = None;
+    original.services = vec![routing::Service {
+        name: "service-1".parse().expect("a name"),
+        health_path: None,
+        connections: 100,
+    }];
+    original.access = access::Access::Unknown;
+    let parts = part::Parts::split_into(&original, 1);
+    let digest = parts.manifest().parts[0];
+    let content = parts.content(&digest).expect("its content");
+
+    let joined = parts.join().expect("a part");
+
+    assert_eq!(hex::encode(content), FIRST_RELEASE_PART);
+    assert_eq!(joined, original);
+    original.access = access::Access::Open;
+    let parts = part::Parts::split_into(&original, 1);
+    let content = parts.content(&parts.manifest().parts[0]);
+    assert!(hex::encode(content.expect("its content")).starts_with(FIRST_RELEASE_PART));
+    assert_eq!(parts.join().expect("a part"), original);
+}
--- a/crates/proxy/src/account.rs
+++ b/crates/proxy/src/account.rs
@@ -159,6 +159,7 @@
             request = caller_request_id,
             number = record.request.0,
             service:% = record.service,
+            organisation:% = record.organisation,
             routing,
             outcome,
             refusal,
--- a/crates/proxy/src/host_routing.rs
+++ b/crates/proxy/src/host_routing.rs
@@ -1,4 +1,4 @@
-//! Routing by host and path, for deployments whose callers have no keys.
+//! Routing by host and path, for deployments whose servers register themselves.
 //!
 //! Header names differ between deployments; [`HeaderNames`] lists them.
 
@@ -21,4 +21,8 @@
     /// Requests per second, as a decimal number, that the server accepts from all daemons together;
     /// absent if the server announces no rate limit.
     pub rate_limit: HeaderName,
+    /// Key of the caller, if callers have keys; never forwarded.
+    pub key: HeaderName,
+    /// Name of the caller's organisation, set on requests to servers if callers have keys.
+    pub organisation: HeaderName,
 }
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod split;
 pub mod trace;
 
+mod access;
 mod account;
 mod activity;
 mod announcement;
--- a/crates/proxy/src/request.rs
+++ b/crates/proxy/src/request.rs
@@ -124,7 +124,8 @@
         };
         options::check_head(self.shared, &request)?;
         if let Some(host_headers) = &self.shared.common.host_headers {
-            let mut options = options::resolve_by_host(self.shared, host_headers, &request)?;
+            let mut options =
+                options::resolve_by_host(self.shared, host_headers, &request, self.origin)?;
             options.max_attempts = options.max_attempts.min(allowed_attempts);
             if self.origin == Origin::Relay {
                 self.shared.common.metrics.received_for_relay.inc();
@@ -214,12 +215,7 @@
             common: shared.common.clone(),
             service,
             request: self.number,
-            head: Arc::new(outbound::build_head(
-                &shared.common,
-                head,
-                &options.organisation,
-                ticket,
-            )),
+            head: Arc::new(outbound::build_head(&shared.common, head, &options, ticket)),
             request_body,
             caller_request_id: options.caller_request_id,
             route_key: options.route_key,
--- a/crates/proxy/src/request/options.rs
+++ b/crates/proxy/src/request/options.rs
@@ -10,11 +10,15 @@
 use monsooncart_types::{id, size};
 use tokio::time::Instant;
 
-use crate::{engine, header, host_routing, problem, relay, response_sizes, router};
+use crate::{
+    access, engine, header, host_routing, problem, relay, request, response_sizes, router,
+};
 
 /// Options of a request, resolved from its route, its caller and the configuration.
 pub struct Options {
     pub organisation: id::Organisation,
+    /// Whose request it is, with host routing.
+    pub grant: access::Grant,
     /// Fair-share weight of the organisation on a loaded service.
     pub weight: u32,
     pub service: id::Service,
@@ -162,6 +166,7 @@
     let route = target.route();
     Ok(Options {
         organisation: organisation.name.clone(),
+        grant: access::Grant::Open,
         weight: organisation.weight,
         service: target.service.name.clone(),
         repeatable: route.repeatable,
@@ -182,11 +187,13 @@
 ///
 /// # Errors
 ///
-/// The response if no route matches or no routing configuration has been received yet.
+/// The response if no route matches, no routing configuration has been received yet, or the caller
+/// has no valid key.
 pub fn resolve_by_host(
     shared: &engine::Shared,
     host_headers: &host_routing::HeaderNames,
     request: &http::Request<Incoming>,
+    origin: request::Origin,
 ) -> Result<Options, problem::Problem> {
     let snapshot = shared.snapshot.load();
     let Some(routing) = snapshot.routing() else {
@@ -202,6 +209,7 @@
     let host = std::str::from_utf8(host).unwrap_or_default();
     let unknown = || problem::Problem::unknown_path(path);
     let route = snapshot.route(host, path).ok_or_else(unknown)?;
+    let grant = access::authenticate(&snapshot, route, host_headers, request.headers(), origin)?;
     let service = shared.splitter.next_service(route).ok_or_else(unknown)?;
     let remaining =
         header::parse_number(request.headers(), &host_headers.deadline).map(Duration::from_millis);
@@ -214,21 +222,25 @@
         .chain(remaining)
         .min()
         .unwrap_or(DEFAULT_TIMEOUT);
+    let organisation = grant.organisation();
+    let priority = organisation.and_then(|organisation| organisation.priority);
+    let name = organisation.map(|organisation| &organisation.name);
     Ok(Options {
-        organisation: shared.common.default_organisation.clone(),
+        organisation: name.unwrap_or(&shared.common.default_organisation).clone(),
         weight: 1,
         service,
         repeatable: route.repeatable,
         ticket: route::Ticket::None,
         body_limit: Some(routing.limits.body),
         max_attempts: route.attempts.max(1),
-        priority: route.priority,
+        priority: priority.unwrap_or(route.priority),
         objective: route.objective.map(|objective| objective.0),
         route_key: Some(response_sizes::Key::new(route)),
         routing_version: routing.version,
         caller_request_id: request.headers().get(&host_headers.request).cloned(),
         timeout,
         deadline: Instant::now() + timeout,
+        grant,
     })
 }
 
--- a/crates/proxy/src/request/outbound.rs
+++ b/crates/proxy/src/request/outbound.rs
@@ -3,16 +3,16 @@
 use http::{HeaderValue, header as names};
 use monsooncart_policy::claims::ticket;
 use monsooncart_policy::handle;
-use monsooncart_types::id;
 use sha2::Digest as _;
 
+use super::options;
 use crate::{common, header, payload};
 
 /// Builds the head that is sent to a server.
 pub fn build_head(
     common: &common::Common,
     mut head: http::request::Parts,
-    organisation: &id::Organisation,
+    options: &options::Options,
     ticket: Option<ticket::Ticket>,
 ) -> http::request::Parts {
     let target = head.uri.path_and_query().map_or("/", |p| p.as_str());
@@ -28,13 +28,14 @@
     let headers = &mut head.headers;
     header::strip_hop_by_hop(headers);
     headers.remove(names::CONTENT_LENGTH);
-    if common.host_headers.is_some() {
+    if let Some(names) = &common.host_headers {
+        options.grant.rewrite(names, headers);
         return head;
     }
     header::strip_fleet_headers(headers);
     headers.remove(names::AUTHORIZATION);
     join_cookies(headers);
-    if let Ok(name) = HeaderValue::from_str(organisation.as_str()) {
+    if let Ok(name) = HeaderValue::from_str(options.organisation.as_str()) {
         headers.insert(header::ORGANISATION, name);
     }
     if let Some(Ok(ticket)) = ticket.map(|t| HeaderValue::from_str(&t.to_string())) {
--- a/crates/proxy/tests/all/fixture.rs
+++ b/crates/proxy/tests/all/fixture.rs
@@ -9,6 +9,7 @@
 use http_body_util::{BodyExt as _, Full};
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
+use monsooncart_config::routing::access;
 use monsooncart_config::{
     object, objective, organisation, registration, route, routing, rules, server as spec, service,
     settings, snapshot,
@@ -211,6 +212,8 @@
         not_run: "x-not-run".parse().unwrap(),
         leaving: "x-leaving".parse().unwrap(),
         rate_limit: "x-rate-limit".parse().unwrap(),
+        key: "x-key".parse().unwrap(),
+        organisation: "x-organisation".parse().unwrap(),
     }
 }
 
@@ -233,6 +236,26 @@
     addresses: &[net::SocketAddr],
     timeout: Duration,
     policies: Arc<dyn interface::Policies>,
+) -> Proxy {
+    let access = access::Access::Open;
+    start_host_engine(addresses, timeout, policies, access).await
+}
+
+/// As [`start_host_proxy`], for callers with this access. `/open/` needs no key.
+pub async fn start_host_proxy_for(
+    addresses: &[net::SocketAddr],
+    timeout: Duration,
+    access: access::Access,
+) -> Proxy {
+    let policies = Arc::new(fakes::Selector);
+    start_host_engine(addresses, timeout, policies, access).await
+}
+
+async fn start_host_engine(
+    addresses: &[net::SocketAddr],
+    timeout: Duration,
+    policies: Arc<dyn interface::Policies>,
+    access: access::Access,
 ) -> Proxy {
     let config = config::Config::new("entry-1".parse().unwrap(), "attica-a".parse().unwrap());
     let config = config.host_routing(Some(header_names()));
@@ -240,7 +263,7 @@
     start_engine(
         bind_listener().await,
         config,
-        host_snapshot(addresses, timeout),
+        host_snapshot(addresses, timeout, access),
     )
 }
 
@@ -258,10 +281,15 @@
             service: "wiredesk".parse().unwrap(),
             weight: 1.0,
         }],
+        open: false,
     }
 }
 
-fn host_snapshot(addresses: &[net::SocketAddr], timeout: Duration) -> snapshot::Snapshot {
+fn host_snapshot(
+    addresses: &[net::SocketAddr],
+    timeout: Duration,
+    access: access::Access,
+) -> snapshot::Snapshot {
     let service: id::Service = "wiredesk".parse().unwrap();
     let routing = routing::Routing {
         version: 1,
@@ -269,12 +297,17 @@
         routes: vec![
             host_route("/items/", true, timeout),
             host_route("/orders/", false, timeout),
+            routing::Route {
+                open: true,
+                ..host_route("/open/", true, timeout)
+            },
         ],
         services: vec![routing::Service {
             name: service.clone(),
             health_path: None,
             connections: 330,
         }],
+        access,
     };
     let routing = object::Value::Routing(Box::new(routing));
     let mut snapshot = snapshot::Snapshot::default()
@@ -329,6 +362,17 @@
 }
 
 impl Proxy {
+    /// Configures the next version of the routing, with this access.
+    pub fn set_access(&self, access: access::Access) {
+        let snapshot = self.engine.snapshot();
+        let mut routing = snapshot.routing().unwrap().as_ref().clone();
+        routing.access = access;
+        let version = snapshot.version(&object::Key::Routing).unwrap() + 1;
+        let routing = object::Value::Routing(Box::new(routing));
+        let next = snapshot.with_object(&object::Key::Routing, version, routing);
+        self.engine.configure(Arc::new(next.unwrap()));
+    }
+
     /// Starts a planned stop of the listener.
     pub fn stop(&mut self) {
         self.stop = None;
--- a/crates/proxy/tests/all/main.rs
+++ b/crates/proxy/tests/all/main.rs
@@ -15,6 +15,7 @@
 mod cancelling;
 mod faults;
 mod forwarding;
+mod keys;
 
 mod leaving;
 mod limits;
--- a/crates/proxy/tests/split.rs
+++ b/crates/proxy/tests/split.rs
@@ -18,6 +18,7 @@
         attempts: 1,
         priority: 0,
         targets: weights.iter().enumerate().map(target).collect(),
+        open: false,
     }
 }
 
