--- a/crates/config/src/parse/settings.rs
+++ b/crates/config/src/parse/settings.rs
@@ -42,6 +42,9 @@
 /// Description of a valid retry budget, for error messages.
 const RETRIES: &str = "a retry budget, an object with share, slack and window";
 
+/// Description of a valid tolerance of allowances, for error messages.
+const TOLERANCE: &str = "a tolerance, an object with share, requests and window";
+
 /// Default lifetime of a response of `/v1/entries`.
 const DEFAULT_ENTRY_LIFETIME: std::time::Duration = std::time::Duration::from_secs(10);
 
@@ -188,6 +191,7 @@
         "lifetime_max",
         "retries",
         "cover_servers",
+        "allowance_tolerance",
     ];
     let fields = reader.read_fields(node, GATEWAY, known)?;
     let directory = parse_listener(reader, &fields, "directory", LISTENER, listeners);
@@ -217,6 +221,10 @@
         Some(node) => reader.read_bool(&node)?,
         None => false,
     };
+    let allowance_tolerance = match fields.get("allowance_tolerance") {
+        Some(node) => parse_allowance_tolerance(reader, &node)?,
+        None => settings::AllowanceTolerance::default(),
+    };
     Some(settings::Gateway {
         directory: directory?,
         readiness: readiness?,
@@ -228,6 +236,25 @@
         lifetime_max: lifetime_max?,
         retries: retries?,
         cover_servers,
+        allowance_tolerance,
+    })
+}
+
+fn parse_allowance_tolerance(
+    reader: &mut reader::Reader<'_>,
+    node: &reader::Node<'_, '_>,
+) -> Option<settings::AllowanceTolerance> {
+    let fields = reader.read_fields(node, TOLERANCE, &["share", "requests", "window"])?;
+    let share = reader.require_field(&fields, "share", NON_NEGATIVE);
+    let share = share.and_then(|node| reader.read_non_negative(&node, NON_NEGATIVE));
+    let requests = reader.require_field(&fields, "requests", NON_NEGATIVE);
+    let requests = requests.and_then(|node| reader.read_non_negative(&node, NON_NEGATIVE));
+    let window = reader.require_field(&fields, "window", super::SPAN);
+    let window = window.and_then(|node| super::parse_span(reader, &node));
+    Some(settings::AllowanceTolerance {
+        share: share?,
+        requests: requests?,
+        window: window?,
     })
 }
 
--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -64,6 +64,19 @@
     pub retries: RetryBudget,
     /// Whether healthy servers are kept in use while many requests fail.
     pub cover_servers: bool,
+    /// By how much all daemons together may exceed an organisation's allowance.
+    pub allowance_tolerance: AllowanceTolerance,
+}
+
+/// By how much all daemons together may exceed an organisation's allowance in a window.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct AllowanceTolerance {
+    /// As a share of the allowance.
+    pub share: f64,
+    /// In requests, in addition.
+    pub requests: f64,
+    /// Length of the window.
+    pub window: span::Span,
 }
 
 /// Retry budget of a service: the number of retries that all daemons together may send.
--- a/crates/daemon/src/core.rs
+++ b/crates/daemon/src/core.rs
@@ -26,6 +26,8 @@
     pub gateway_entries: Option<gateway::entries::Entries>,
     /// Lost paths to servers; `None` unless this is a gateway deployment.
     pub gateway_paths: Option<gateway::paths::Paths>,
+    /// Parts of the organisations' allowances; `None` unless this is a gateway deployment.
+    pub gateway_allowances: Option<gateway::allowances::Allowances>,
     /// Notified when there is evidence that has not been sent to other daemons.
     pub evidence_ready: Notify,
     started_at: Instant,
@@ -49,6 +51,9 @@
                 .gateway
                 .is_some()
                 .then(|| gateway::paths::Paths::new(instance)),
+            gateway_allowances: settings.gateway.is_some().then(|| {
+                gateway::allowances::Allowances::new(time::Time::ZERO, instance, &settings)
+            }),
             evidence_ready: Notify::new(),
             settings,
             started_at: Instant::now(),
--- a/crates/daemon/src/engine.rs
+++ b/crates/daemon/src/engine.rs
@@ -154,6 +154,9 @@
             let state = core.clone();
             let report = move || gateway::paths::report(state.clone());
             self.spawn_restarting("path reports", report);
+            let state = core.clone();
+            let exchange = move || gateway::allowances::exchange(state.clone());
+            self.spawn_restarting("allowances", exchange);
             return;
         }
         self.spawn_restarting("evidence publisher", move || {
@@ -334,6 +337,7 @@
         );
         self.shared.shutdown.cancel();
         self.shared.background_tasks.close();
+        gateway::allowances::leave(core);
         if let Some(cluster) = core.cluster() {
             cluster.clone().leave().await;
         }
--- a/crates/daemon/src/fleet.rs
+++ b/crates/daemon/src/fleet.rs
@@ -7,9 +7,10 @@
 use futures_util::FutureExt as _;
 use futures_util::future::BoxFuture;
 use monsooncart_cluster::scope;
+use monsooncart_config::routing::access;
 use monsooncart_policy::floor::{event, mark};
 use monsooncart_policy::membership::member;
-use monsooncart_policy::{handle, inventory};
+use monsooncart_policy::{allowance, handle, inventory};
 use monsooncart_proxy::{interface, relay as proxy_relay};
 use monsooncart_types::{id, instance, rate};
 use monsooncart_wire::update;
@@ -216,6 +217,27 @@
         }
     }
 
+    fn admit(
+        &self,
+        organisation: &id::Organisation,
+        allowance: &access::Allowance,
+        is_first: bool,
+    ) -> allowance::Decision {
+        let now = self.core.now();
+        match &self.core.gateway_allowances {
+            Some(allowances) => allowances.admit(now, organisation, allowance, is_first),
+            None => allowance::Decision::Admit {
+                after: Duration::ZERO,
+            },
+        }
+    }
+
+    fn refund(&self, organisation: &id::Organisation) {
+        if let Some(allowances) = &self.core.gateway_allowances {
+            allowances.refund(self.core.now(), organisation);
+        }
+    }
+
     fn daemons(&self, service: &id::Service) -> Vec<instance::Instance> {
         if let Some(entries) = &self.core.gateway_entries {
             return entries.instances();
--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -9,6 +9,7 @@
 //! therefore probe each other only inside their data centre, each data centre has its own watcher
 //! of the store, and callers are directed to daemons in their own data centre.
 
+pub mod allowances;
 pub mod discovery;
 pub mod endpoints;
 pub mod entries;
--- a/crates/daemon/src/rpc.rs
+++ b/crates/daemon/src/rpc.rs
@@ -231,6 +231,16 @@
                     proxy.check_path(&service);
                 }
             }
+            update::Update::AllowanceReport(report) => {
+                if let Some(allowances) = &self.core.gateway_allowances {
+                    allowances.receive(self.core.now(), &report);
+                }
+            }
+            update::Update::AllowanceLoan(loan) => {
+                if let Some(allowances) = &self.core.gateway_allowances {
+                    allowances.receive_loan(self.core.now(), &loan);
+                }
+            }
             update::Update::Configuration { .. } | update::Update::Platform { .. } => {}
         }
     }
--- /dev/null
+++ b/crates/policy/src/allowance/ledger.rs
@@ -0,0 +1,525 @@
+//! The parts of one daemon of all allowances.
+
+use std::time::Duration;
+
+use monsooncart_types::{instance, map, time};
+
+use super::{
+    BASE_HOLDERS, BASE_RATE, BASE_SHARE, Decision, Limit, MAX_LENDERS, Organisation,
+    REPORT_INTERVAL_PER_RECEIVER, RESEND_INTERVAL, SILENCE_RETENTION, SYNC_TIMEOUT, Tolerance,
+    account, loan, peer, report,
+};
+use crate::rank;
+
+/// Maximum number of earlier instances whose late reports are recognised.
+const MAX_SUPERSEDED: usize = 256;
+
+/// Time without a report after which a daemon's missing echo does not lengthen the reports.
+const ACTIVE_TIME: Duration = Duration::from_secs(2);
+
+/// Numbers that were received of a daemon.
+#[derive(Clone, Copy, Debug, Default)]
+struct Received {
+    latest: u64,
+    /// Which of the numbers before the latest one were received, the closest in the lowest bit.
+    before: u64,
+}
+
+impl Received {
+    /// Records a number; returns whether it was not received before.
+    fn record(&mut self, number: u64) -> bool {
+        if number > self.latest {
+            let shift = number - self.latest;
+            let shifted =
+                |bits: u64, by: u64| u32::try_from(by).ok().and_then(|by| bits.checked_shl(by));
+            let before = shifted(self.before, shift).unwrap_or(0);
+            let latest = shifted(1, shift - 1).unwrap_or(0);
+            self.before = if self.latest > 0 { before | latest } else { 0 };
+            self.latest = number;
+            return true;
+        }
+        // One that is too old counts as received.
+        let bit = u32::try_from(self.latest - number).ok();
+        let bit = bit.and_then(|age| 1_u64.checked_shl(age.checked_sub(1)?));
+        match bit {
+            Some(bit) if self.before & bit == 0 => {
+                self.before |= bit;
+                true
+            }
+            _ => false,
+        }
+    }
+}
+
+/// The daemon's accounts, and the weights of the other daemons.
+#[derive(Clone, Debug)]
+pub struct Ledger {
+    own: instance::Instance,
+    vm: u64,
+    started_at: time::Time,
+    tolerance: Tolerance,
+    is_holder: bool,
+    /// Whether the weights of the others are known, so that this daemon may use its own.
+    is_synced: bool,
+    accounts: map::Map<Organisation, account::Account>,
+    peers: map::Map<instance::Instance, peer::Peer>,
+    /// Earlier instances of VMs.
+    superseded: map::Set<instance::Instance>,
+    /// Number of the last change of an announced weight.
+    changes: u64,
+    /// Number of the last change in the latest report.
+    reported: u64,
+    reported_at: time::Time,
+    /// Messages about loans that are to be sent.
+    loans: Vec<(instance::Instance, loan::Loan)>,
+    grants: u64,
+    /// Number of the last grant of each daemon, and those received out of order.
+    received_grants: map::Map<instance::Instance, Received>,
+    /// Changes with every weight that parts are computed from.
+    generation: u64,
+}
+
+impl Ledger {
+    /// Creates the ledger of the daemon `own` on the VM `vm`, which starts at `now`.
+    #[must_use]
+    pub fn new(now: time::Time, own: instance::Instance, vm: u64, tolerance: Tolerance) -> Self {
+        Self {
+            own,
+            vm,
+            started_at: now,
+            tolerance,
+            is_holder: false,
+            is_synced: false,
+            accounts: map::Map::default(),
+            peers: map::Map::default(),
+            superseded: map::Set::default(),
+            changes: 0,
+            reported: 0,
+            reported_at: now,
+            loans: Vec::new(),
+            grants: 0,
+            received_grants: map::Map::default(),
+            generation: 1,
+        }
+    }
+
+    /// Applies the daemons of the entry sets, this one included if it is among them.
+    pub fn set_holders(&mut self, now: time::Time, holders: &[instance::Instance]) {
+        self.is_holder = holders.contains(&self.own);
+        for peer in self.peers.values_mut() {
+            peer.is_holder = false;
+        }
+        let others = holders.iter().filter(|holder| **holder != self.own);
+        for holder in others.filter(|holder| !self.superseded.contains(*holder)) {
+            let is_established = !self.is_synced;
+            let peer = self.peers.entry(*holder);
+            let peer = peer.or_insert_with(|| peer::Peer::new(now, is_established));
+            peer.is_holder = true;
+        }
+        self.peers
+            .retain(|_, peer| peer.is_required() || peer.vm.is_some());
+        self.generation += 1;
+    }
+
+    /// Decides about a request of an organisation. `is_first` is false for a request that was
+    /// undecided before.
+    pub fn decide(
+        &mut self,
+        now: time::Time,
+        organisation: Organisation,
+        limit: Limit,
+        is_first: bool,
+    ) -> Decision {
+        let extended = self.tolerance.extend(limit);
+        self.update_account(now, organisation, extended);
+        let lenders = self.lenders(organisation);
+        let Some(account) = self.accounts.get_mut(&organisation) else {
+            return Decision::Undecided;
+        };
+        let decision = account.decide(now, is_first, !lenders.is_empty());
+        if let Some(tokens) = account.take_wanted() {
+            let ask = loan::Loan::Ask {
+                from: self.own,
+                organisation,
+                limit,
+                tokens,
+            };
+            self.loans
+                .extend(lenders.into_iter().map(|lender| (lender, ask)));
+        }
+        decision
+    }
+
+    /// Daemons that may have tokens of an organisation.
+    fn lenders(&self, organisation: Organisation) -> Vec<instance::Instance> {
+        let base_holders = self.base_holders(organisation).into_iter();
+        let mut lenders: Vec<_> = base_holders.filter(|d| *d != self.own).collect();
+        let peers = self.peers.iter();
+        let claimants = peers.filter(|(_, peer)| peer.claims.contains_key(&organisation));
+        let claimants = claimants.map(|(daemon, _)| *daemon);
+        let claimants: Vec<_> = claimants.filter(|d| !lenders.contains(d)).collect();
+        lenders.extend(claimants);
+        lenders.truncate(MAX_LENDERS);
+        lenders
+    }
+
+    /// Takes the messages about loans that are to be sent, with their receivers.
+    pub fn take_loans(&mut self) -> Vec<(instance::Instance, loan::Loan)> {
+        std::mem::take(&mut self.loans)
+    }
+
+    /// Applies a message about a loan.
+    pub fn receive_loan(&mut self, now: time::Time, loan: &loan::Loan) {
+        match *loan {
+            loan::Loan::Ask {
+                from,
+                organisation,
+                limit,
+                tokens,
+            } => self.lend(now, from, organisation, limit, tokens),
+            loan::Loan::Grant {
+                from,
+                number,
+                organisation,
+                tokens,
+            } => {
+                let is_new = self.received_grants.entry(from).or_default().record(number);
+                if let Some(account) = self.accounts.get_mut(&organisation).filter(|_| is_new) {
+                    account.receive_loan(now, tokens);
+                }
+            }
+        }
+    }
+
+    fn lend(
+        &mut self,
+        now: time::Time,
+        to: instance::Instance,
+        organisation: Organisation,
+        limit: Limit,
+        wanted: f64,
+    ) {
+        if !self.accounts.contains_key(&organisation) {
+            let limit = self.tolerance.extend(limit);
+            self.update_account(now, organisation, limit);
+        }
+        let account = self.accounts.get_mut(&organisation);
+        let tokens = account.map_or(0.0, |account| account.lend(now, wanted));
+        if tokens > 0.0 {
+            self.grants += 1;
+            let grant = loan::Loan::Grant {
+                from: self.own,
+                number: self.grants,
+                organisation,
+                tokens,
+            };
+            self.loans.push((to, grant));
+        }
+    }
+
+    /// Gives the token of a request back that has not run.
+    pub fn refund(&mut self, now: time::Time, organisation: Organisation) {
+        if let Some(account) = self.accounts.get_mut(&organisation) {
+            account.refund(now);
+        }
+    }
+
+    /// This daemon's share of an organisation's allowance; `None` if it had no request lately.
+    #[must_use]
+    pub fn part(&self, organisation: Organisation) -> Option<f64> {
+        self.accounts.get(&organisation).map(account::Account::part)
+    }
+
+    /// Creates the account of an organisation if there is none, and brings its part up to date.
+    fn update_account(&mut self, now: time::Time, organisation: Organisation, limit: Limit) {
+        self.update_sync(now);
+        let generation = self.generation;
+        let known = self.accounts.get(&organisation);
+        if known.is_some_and(|a| a.generation == generation && a.limit() == limit) {
+            return;
+        }
+        let effective = known.map_or(0.0, |account| account.effective.value());
+        let part = self.part_of(organisation, limit, effective);
+        let has_token = self.base_holders(organisation).contains(&self.own);
+        let started_at = self.started_at;
+        let account = self
+            .accounts
+            .entry(organisation)
+            .or_insert_with(|| account::Account::new(now, started_at, limit, part, has_token));
+        account.set_limit(now, limit);
+        account.set_part(now, part, has_token);
+        account.generation = generation;
+    }
+
+    /// Notices that the weights of all daemons of the entry sets are known. One that appears later has
+    /// none before this daemon has echoed it.
+    fn update_sync(&mut self, now: time::Time) {
+        if self.is_synced {
+            return;
+        }
+        let is_any_known = self.peers.values().any(|peer| peer.is_holder);
+        self.is_synced = match is_any_known {
+            true => !self.peers.values().any(|peer| peer.is_awaited(now)),
+            false => self.is_holder && now.since(self.started_at) >= SYNC_TIMEOUT,
+        };
+        if self.is_synced {
+            self.generation += 1;
+        }
+    }
+
+    /// Share of an allowance for an effective weight.
+    fn part_of(&self, organisation: Organisation, limit: Limit, effective: f64) -> f64 {
+        if !self.is_synced {
+            return 0.0;
+        }
+        let base_holders = self.base_holders(organisation);
+        let base = limit.rate * BASE_SHARE + BASE_RATE;
+        let base = base / base_holders.len().max(1) as f64;
+        let base_of = |daemon: &instance::Instance| match base_holders.contains(daemon) {
+            true => base,
+            false => 0.0,
+        };
+        let own = effective.max(base_of(&self.own));
+        let peers = self.peers.iter();
+        let weights = peers.map(|(daemon, peer)| peer.weight(organisation, base_of(daemon)));
+        let others: f64 = weights.sum();
+        if own <= 0.0 {
+            0.0
+        } else {
+            own / (own + others)
+        }
+    }
+
+    /// Daemons of the entry sets that share the base weight of an organisation, by rendezvous hashing.
+    fn base_holders(&self, organisation: Organisation) -> Vec<instance::Instance> {
+        let peers = self.peers.iter().filter(|(_, peer)| peer.is_holder);
+        let peers = peers.map(|(daemon, _)| *daemon);
+        let own = self.is_holder.then_some(self.own);
+        let mut holders: Vec<_> = peers.chain(own).collect();
+        if holders.len() > BASE_HOLDERS {
+            let weight = |daemon: &instance::Instance| {
+                std::cmp::Reverse(rank::mix(organisation.0 ^ rank::mix(daemon.0)))
+            };
+            holders.select_nth_unstable_by_key(BASE_HOLDERS, weight);
+            holders.truncate(BASE_HOLDERS);
+        }
+        holders
+    }
+
+    /// Number of the last change that all required daemons have echoed.
+    fn echoed(&self) -> u64 {
+        let required = self.peers.values().filter(|peer| peer.is_required());
+        required.map(|peer| peer.echoed).min().unwrap_or(u64::MAX)
+    }
+
+    /// Applies the report of another daemon.
+    pub fn receive(&mut self, now: time::Time, report: &report::Report) {
+        if report.from == self.own || self.superseded.contains(&report.from) {
+            return;
+        }
+        if report.is_last {
+            self.remove(report.from);
+            return;
+        }
+        if !self.peers.contains_key(&report.from) || report.since == 0 {
+            self.supersede(report);
+        }
+        let peer = self.peers.entry(report.from);
+        let is_established = !self.is_synced;
+        let peer = peer.or_insert_with(|| peer::Peer::new(now, is_established));
+        peer.apply(now, report);
+        let echo = report.echoes.iter().find(|echo| echo.daemon == self.own);
+        peer.echoed = echo.map_or(0, |echo| echo.change);
+        peer.is_established |= echo.is_some_and(|echo| echo.change > 0);
+        self.generation += 1;
+        self.confirm();
+    }
+
+    /// Removes the earlier instances of the reporting daemon's VM.
+    fn supersede(&mut self, report: &report::Report) {
+        let is_earlier = |(daemon, peer): &(&instance::Instance, &peer::Peer)| {
+            peer.vm == Some(report.vm) && **daemon != report.from
+        };
+        let earlier = self.peers.iter().filter(is_earlier);
+        let earlier: Vec<_> = earlier.map(|(daemon, _)| *daemon).collect();
+        for daemon in earlier {
+            self.remove(daemon);
+        }
+    }
+
+    /// Removes a daemon that is certainly gone.
+    pub fn remove(&mut self, daemon: instance::Instance) {
+        if self.superseded.len() >= MAX_SUPERSEDED {
+            self.superseded.clear();
+        }
+        self.superseded.insert(daemon);
+        self.received_grants.remove(&daemon);
+        if self.peers.remove(&daemon).is_some() {
+            self.generation += 1;
+            self.confirm();
+        }
+    }
+
+    /// Uses the announced weights that all required daemons have echoed.
+    fn confirm(&mut self) {
+        let echoed = self.echoed();
+        for account in self.accounts.values_mut() {
+            if account.confirm(echoed) {
+                // Forces the part to be computed anew.
+                account.generation = 0;
+            }
+        }
+    }
+
+    /// Follows the demand; returns the report that is due, if any, with its receivers.
+    pub fn tick(&mut self, now: time::Time) -> Option<(report::Report, Vec<instance::Instance>)> {
+        self.peers.retain(|_, peer| {
+            let silence = now.since(peer.heard_at);
+            let retention = match peer.is_required() {
+                true => SILENCE_RETENTION,
+                false => ACTIVE_TIME,
+            };
+            peer.is_holder || silence < retention
+        });
+        let mut changes = self.changes;
+        for account in self.accounts.values_mut() {
+            if account.follow_demand(now) {
+                changes += 1;
+                account.changed_in = changes;
+                account.generation = 0;
+            }
+        }
+        self.changes = changes;
+        self.confirm();
+        self.generation += 1;
+        self.settle_accounts(now);
+        if !self.is_involved() {
+            // The others do not report to this daemon any more.
+            self.peers.values_mut().for_each(peer::Peer::forget);
+            self.is_synced = false;
+        }
+        self.take_report(now)
+    }
+
+    /// Whether the daemon has, or may have, parts.
+    fn is_involved(&self) -> bool {
+        self.is_holder || !self.accounts.is_empty()
+    }
+
+    /// Whether no tick is needed until the next request, report or change of the entry sets.
+    #[must_use]
+    pub fn is_idle(&self) -> bool {
+        let is_settled = |peer: &peer::Peer| {
+            !peer.awaits_echo && (peer.is_synced || !peer.is_holder || !self.is_involved())
+        };
+        self.accounts.is_empty() && self.loans.is_empty() && self.peers.values().all(is_settled)
+    }
+
+    /// Brings all parts up to date, so that tokens are added by the part of their time, and discards
+    /// idle accounts.
+    fn settle_accounts(&mut self, now: time::Time) {
+        let organisations = self.accounts.iter();
+        let organisations: Vec<_> = organisations.map(|(o, a)| (*o, a.limit())).collect();
+        for (organisation, limit) in organisations {
+            self.update_account(now, organisation, limit);
+        }
+        let echoed = self.echoed();
+        self.accounts
+            .retain(|_, account| !account.is_idle() || account.changed_in > echoed);
+    }
+
+    fn take_report(
+        &mut self,
+        now: time::Time,
+    ) -> Option<(report::Report, Vec<instance::Instance>)> {
+        let is_new = self.changes > self.reported;
+        let is_unsynced = |peer: &peer::Peer| peer.is_holder && !peer.is_synced;
+        let is_unsynced = self.is_involved() && self.peers.values().any(is_unsynced);
+        let is_missing = self.echoed() < self.changes || is_unsynced;
+        let is_due = now.since(self.reported_at) >= RESEND_INTERVAL;
+        let is_asking = is_unsynced && self.peers.values().any(|peer| peer.asked_at.is_none());
+        let is_awaited = self.peers.values().any(|peer| peer.awaits_echo);
+        let receivers = u32::try_from(self.receivers().len()).unwrap_or(u32::MAX);
+        let interval = REPORT_INTERVAL_PER_RECEIVER.saturating_mul(receivers);
+        if now.since(self.reported_at) < interval {
+            return None;
+        }
+        if self.peers.is_empty() || !(is_new || is_awaited || is_asking || (is_missing && is_due)) {
+            return None;
+        }
+        self.reported_at = now;
+        let receivers = self.receivers();
+        let report = self.report(now);
+        for peer in self.peers.values_mut() {
+            peer.awaits_echo = false;
+        }
+        Some((report, receivers))
+    }
+
+    fn report(&mut self, now: time::Time) -> report::Report {
+        let is_active = |peer: &&peer::Peer| {
+            peer.awaits_echo || (peer.is_required() && now.since(peer.heard_at) < ACTIVE_TIME)
+        };
+        let active = self.peers.values().filter(is_active);
+        let since = active.map(|peer| peer.echoed).min();
+        let since = since.unwrap_or(self.changes).min(self.changes);
+        let changed = self.accounts.iter();
+        let changed = changed.filter(|(_, account)| account.changed_in > since);
+        let mut changed: Vec<_> = changed.collect();
+        changed.sort_unstable_by_key(|(_, account)| account.changed_in);
+        let is_whole = changed.len() <= report::MAX_CLAIMS;
+        changed.truncate(report::MAX_CLAIMS);
+        let last = changed.last().map(|(_, account)| account.changed_in);
+        let upto = last.filter(|_| !is_whole).unwrap_or(self.changes);
+        let claims = changed
+            .into_iter()
+            .map(|(organisation, account)| report::Claim {
+                organisation: *organisation,
+                weight: account.announced,
+            });
+        let claims = claims.collect();
+        self.reported = upto;
+        let mut echoes = Vec::with_capacity(self.peers.len());
+        for (daemon, peer) in &mut self.peers {
+            if peer.is_holder && !peer.is_synced {
+                peer.asked_at.get_or_insert(now);
+            }
+            echoes.push(report::Echo {
+                daemon: *daemon,
+                change: peer.applied,
+            });
+        }
+        report::Report {
+            from: self.own,
+            vm: self.vm,
+            since,
+            upto,
+            claims,
+            is_whole,
+            echoes,
+            is_last: false,
+        }
+    }
+
+    /// The report of a daemon that stops and admits no request any more.
+    #[must_use]
+    pub fn last_report(&self) -> report::Report {
+        report::Report {
+            from: self.own,
+            vm: self.vm,
+            since: 0,
+            upto: self.changes,
+            claims: Vec::new(),
+            is_whole: true,
+            echoes: Vec::new(),
+            is_last: true,
+        }
+    }
+
+    /// Daemons that receive the reports.
+    #[must_use]
+    pub fn receivers(&self) -> Vec<instance::Instance> {
+        let addressed = self.peers.iter().filter(|(_, peer)| peer.is_addressed());
+        addressed.map(|(daemon, _)| *daemon).collect()
+    }
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -7,6 +7,7 @@
 //! [`floor`], [`membership`] and [`rollout`] are the protocols that daemons run with each other.
 
 pub mod action;
+pub mod allowance;
 pub mod balancer;
 pub mod claims;
 pub mod connections;
--- /dev/null
+++ b/crates/policy/tests/allowance/decisions.rs
@@ -0,0 +1,112 @@
+//! Decisions about single requests.
+
+use std::time::Duration;
+
+use monsooncart_policy::allowance::{Decision, Ledger, Limit, Organisation, Tolerance};
+use monsooncart_types::{instance, time};
+
+const OWN: instance::Instance = instance::Instance(1);
+
+const ORGANISATION: Organisation = Organisation(7);
+
+const LIMIT: Limit = Limit {
+    rate: 10.0,
+    burst: 5.0,
+};
+
+const AT_ONCE: Decision = Decision::Admit {
+    after: Duration::ZERO,
+};
+
+/// The ledger of the only daemon, which has run for 10 s.
+fn ledger() -> (Ledger, time::Time) {
+    let started_at = time::Time::from_millis(50_000);
+    let now = time::Time::from_millis(60_000);
+    let mut ledger = Ledger::new(started_at, OWN, 1, Tolerance::default());
+    ledger.set_holders(started_at, &[OWN]);
+    (ledger, now)
+}
+
+fn decide(ledger: &mut Ledger, now: time::Time) -> Decision {
+    ledger.decide(now, ORGANISATION, LIMIT, true)
+}
+
+#[test]
+fn the_only_daemon_admits_a_whole_burst_and_then_makes_requests_wait() {
+    let (mut ledger, now) = ledger();
+
+    let burst: Vec<_> = (0..5).map(|_| decide(&mut ledger, now)).collect();
+    let next = decide(&mut ledger, now);
+
+    assert_eq!(burst, [AT_ONCE; 5]);
+    let Decision::Admit { after } = next else {
+        panic!("{next:?}");
+    };
+    assert!(
+        after > Duration::ZERO && after <= Duration::from_millis(100),
+        "{after:?}"
+    );
+}
+
+/// Guards against callers that are told to come back all at once.
+#[test]
+fn refused_requests_are_told_to_come_back_in_the_order_of_their_refusals() {
+    let (mut ledger, now) = ledger();
+    let mut turns = Vec::new();
+
+    for _ in 0..20 {
+        if let Decision::Refuse { retry_after } = decide(&mut ledger, now) {
+            turns.push(retry_after);
+        }
+    }
+
+    assert!(turns.len() > 5);
+    assert!(turns.is_sorted());
+    assert!(
+        turns[4] - turns[0] >= Duration::from_millis(350),
+        "{turns:?}"
+    );
+}
+
+/// Guards against allowances that are spent by requests which never ran.
+#[test]
+fn a_request_that_has_not_run_gives_its_token_back() {
+    let (mut ledger, now) = ledger();
+    for _ in 0..5 {
+        decide(&mut ledger, now);
+    }
+
+    ledger.refund(now, ORGANISATION);
+
+    assert_eq!(decide(&mut ledger, now), AT_ONCE);
+}
+
+/// Guards against a burst of the old limit under the new one.
+#[test]
+fn a_lower_limit_is_in_force_at_once() {
+    let (mut ledger, now) = ledger();
+    decide(&mut ledger, now);
+    let lower = Limit {
+        rate: 0.1,
+        burst: 1.0,
+    };
+
+    let decisions: Vec<_> = (0..3)
+        .map(|_| ledger.decide(now, ORGANISATION, lower, true))
+        .collect();
+
+    assert_eq!(decisions[0], AT_ONCE);
+    assert!(
+        matches!(decisions[1], Decision::Refuse { .. }),
+        "{decisions:?}"
+    );
+}
+
+/// Guards against a daemon outside the entry sets that admits before the others know of it.
+#[test]
+fn a_daemon_outside_the_entry_sets_admits_nothing_until_its_weight_is_echoed() {
+    let (mut ledger, now) = ledger();
+    ledger.set_holders(now, &[instance::Instance(2)]);
+
+    assert_eq!(decide(&mut ledger, now), Decision::Undecided);
+}
--- /dev/null
+++ b/crates/policy/tests/allowance/main.rs
@@ -0,0 +1,6 @@
+//! Tests of the division of allowances.
+
+mod bounds;
+mod decisions;
+mod fleet;
+mod service;
--- a/crates/proxy/src/account.rs
+++ b/crates/proxy/src/account.rs
@@ -12,7 +12,7 @@
 use monsooncart_policy::{handle, outcome};
 use monsooncart_types::id;
 
-use crate::{claim, clock, common, interface, payload, trace};
+use crate::{claim, clock, common, interface, payload, permit, trace};
 
 pub struct Account {
     common: Arc<common::Common>,
@@ -20,6 +20,7 @@
     attempts: Vec<trace::Attempt>,
     started_at: Instant,
     claim: Option<claim::Claim>,
+    permit: Option<permit::Permit>,
     request_body: Option<payload::Source>,
     possibly_sent: Arc<AtomicBool>,
     /// Request id set by the caller, and version of the routing configuration that was used.
@@ -53,6 +54,7 @@
             attempts: Vec::new(),
             started_at: Instant::now(),
             claim: None,
+            permit: None,
             request_body: None,
             possibly_sent: Arc::default(),
             caller_request_id: None,
@@ -69,6 +71,11 @@
         self.claim = Some(claim);
     }
 
+    /// Sets the permit, which is spent unless the request has not run.
+    pub fn set_permit(&mut self, permit: permit::Permit) {
+        self.permit = Some(permit);
+    }
+
     /// Sets the request body, whose received bytes are recorded.
     pub fn set_request_body(&mut self, request_body: payload::Source) {
         self.request_body = Some(request_body);
@@ -194,6 +201,11 @@
         if let Some(claim) = self.claim.take() {
             claim.settle(self.record.execution, None);
         }
+        if let Some(permit) = self.permit.take()
+            && self.record.execution == outcome::Execution::Unknown
+        {
+            permit.spend();
+        }
         self.write_log();
         let record = &self.record;
         let seconds = self.started_at.elapsed().as_secs_f64();
--- a/crates/proxy/src/interface.rs
+++ b/crates/proxy/src/interface.rs
@@ -5,8 +5,9 @@
 use std::time::Duration;
 
 use futures_util::future::BoxFuture;
+use monsooncart_config::routing::access;
 use monsooncart_policy::claims::{claim, ticket};
-use monsooncart_policy::{handle, inventory, outcome, service};
+use monsooncart_policy::{allowance, handle, inventory, outcome, service};
 use monsooncart_types::{id, instance, rate};
 
 use crate::relay;
@@ -91,6 +92,22 @@
 
     /// Reports to the fleet whether this daemon has lost its path to the servers of a service.
     fn report_path(&self, _service: &id::Service, _lost: bool) {}
+
+    /// Decides whether an organisation's allowance, which all daemons share, admits a request;
+    /// `is_first` is false for a request that was undecided before.
+    fn admit(
+        &self,
+        _organisation: &id::Organisation,
+        _allowance: &access::Allowance,
+        _is_first: bool,
+    ) -> allowance::Decision {
+        allowance::Decision::Admit {
+            after: Duration::ZERO,
+        }
+    }
+
+    /// Gives back what a request took of its organisation's allowance, as it has not run.
+    fn refund(&self, _organisation: &id::Organisation) {}
 }
 
 /// Decides claims on tickets, so that the unrepeatable work of a ticket runs at most once.
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -43,6 +43,7 @@
 mod metrics;
 mod pass;
 mod payload;
+mod permit;
 mod probe;
 mod problem;
 mod request;
--- a/crates/proxy/src/request.rs
+++ b/crates/proxy/src/request.rs
@@ -16,7 +16,7 @@
 use monsooncart_types::time;
 use tokio::time::Instant;
 
-use crate::{account, activity, body, claim, engine, header, pass, problem, relay};
+use crate::{account, activity, body, claim, engine, header, pass, permit, problem, relay};
 
 const ENTRIES_PATH: &str = "/v1/entries";
 
@@ -160,6 +160,7 @@
         let service = shared
             .service(&service_name)
             .ok_or_else(problem::Problem::unconfigured)?;
+        let permit = self.obtain_permit(&options).await?;
         let (head, incoming) = request.into_parts();
         let mut account = account::Account::new(
             shared.common.clone(),
@@ -167,6 +168,9 @@
             options.organisation.clone(),
             service_name.clone(),
         );
+        if let Some(permit) = permit {
+            account.set_permit(permit);
+        }
         if let Some(request_id) = &options.caller_request_id {
             account.set_caller_request_id(request_id.clone(), options.routing_version);
         }
@@ -228,6 +232,24 @@
         Ok(forwarder.run(arrival).await)
     }
 
+    /// Obtains a permit if the organisation has an allowance. The daemon that has a request relayed has
+    /// obtained it already.
+    async fn obtain_permit(
+        &self,
+        options: &options::Options,
+    ) -> Result<Option<permit::Permit>, problem::Problem> {
+        let organisation = options.grant.organisation();
+        let organisation = organisation.filter(|_| self.origin == Origin::Caller);
+        let allowance = organisation.and_then(|organisation| organisation.allowance.as_ref());
+        let Some((organisation, allowance)) = organisation.zip(allowance) else {
+            return Ok(None);
+        };
+        let fleet = &self.shared.common.fleet;
+        let name = &organisation.name;
+        let permit = permit::Permit::obtain(fleet, name, allowance, options.deadline).await?;
+        Ok(Some(permit))
+    }
+
     /// Converts a deadline to the clock of the policies.
     fn policy_deadline(&self, deadline: Instant) -> time::Time {
         let remaining = deadline.saturating_duration_since(Instant::now());
--- a/crates/proxy/tests/all/fakes.rs
+++ b/crates/proxy/tests/all/fakes.rs
@@ -7,8 +7,9 @@
 
 use futures_util::FutureExt as _;
 use futures_util::future::BoxFuture;
+use monsooncart_config::routing::access;
 use monsooncart_policy::claims::{claim, ticket};
-use monsooncart_policy::{balancer, handle, inventory, naive, selector, service};
+use monsooncart_policy::{allowance, balancer, handle, inventory, naive, selector, service};
 use monsooncart_proxy::{engine, interface, relay};
 use monsooncart_types::{id, instance, map, rate};
 use tokio_util::sync::CancellationToken;
@@ -26,6 +27,10 @@
     rate_limits: Mutex<Vec<(id::Server, Option<rate::Rate>)>>,
     relay: Mutex<Option<engine::Engine>>,
     lost_paths: Mutex<Vec<bool>>,
+    /// Decisions about allowances, the next one last; all others admit at once.
+    decisions: Mutex<Vec<allowance::Decision>>,
+    admitted: Mutex<Vec<id::Organisation>>,
+    refunded: Mutex<Vec<id::Organisation>>,
     /// Ends the streams to the relay.
     relay_cut: CancellationToken,
 }
@@ -61,6 +66,21 @@
         locked(&self.lost_paths).clone()
     }
 
+    /// Sets the next decisions about allowances.
+    pub fn decide(&self, decisions: &[allowance::Decision]) {
+        *locked(&self.decisions) = decisions.iter().rev().copied().collect();
+    }
+
+    /// Organisations of the requests that were decided about for the first time.
+    pub fn admitted(&self) -> Vec<id::Organisation> {
+        locked(&self.admitted).clone()
+    }
+
+    /// Organisations to which tokens were given back.
+    pub fn refunded(&self) -> Vec<id::Organisation> {
+        locked(&self.refunded).clone()
+    }
+
     /// Sets the address that is returned as the service's entry.
     pub fn set_entry(&self, address: net::SocketAddr) {
         *locked(&self.entry) = Some(address);
@@ -78,6 +98,25 @@
 
     fn restore(&self, _: &id::Service, _: &id::Server) {}
 
+    fn admit(
+        &self,
+        organisation: &id::Organisation,
+        _: &access::Allowance,
+        is_first: bool,
+    ) -> allowance::Decision {
+        if is_first {
+            locked(&self.admitted).push(organisation.clone());
+        }
+        let at_once = allowance::Decision::Admit {
+            after: Duration::ZERO,
+        };
+        locked(&self.decisions).pop().unwrap_or(at_once)
+    }
+
+    fn refund(&self, organisation: &id::Organisation) {
+        locked(&self.refunded).push(organisation.clone());
+    }
+
     fn report_crash(&self, _: &id::Service, _: handle::Fingerprint, _: &id::Server) {}
 
     fn quarantine(&self, _: &id::Service, _: handle::Fingerprint, _: Duration) {}
--- a/crates/proxy/tests/all/main.rs
+++ b/crates/proxy/tests/all/main.rs
@@ -11,6 +11,7 @@
 mod scripted;
 
 mod accounts;
+mod allowances;
 mod callers;
 mod cancelling;
 mod faults;
--- a/crates/wire/src/update.rs
+++ b/crates/wire/src/update.rs
@@ -6,7 +6,7 @@
 use monsooncart_config::object;
 use monsooncart_policy::claims::successor;
 use monsooncart_policy::floor::mark;
-use monsooncart_policy::{event, handle};
+use monsooncart_policy::{allowance, event, handle};
 use monsooncart_types::{id, instance, rate};
 
 /// A daemon's evidence about one backend server.
@@ -121,6 +121,10 @@
         /// Whether the path is lost.
         lost: bool,
     },
+    /// A daemon's weights in the division of allowances.
+    AllowanceReport(allowance::report::Report),
+    /// A daemon borrows or lends a part of an allowance.
+    AllowanceLoan(allowance::loan::Loan),
 }
 
 impl Update {
@@ -138,7 +142,9 @@
             Self::Evidence { .. }
             | Self::Configuration { .. }
             | Self::Platform { .. }
-            | Self::RateLimit { .. } => None,
+            | Self::RateLimit { .. }
+            | Self::AllowanceReport(_)
+            | Self::AllowanceLoan(_) => None,
         }
     }
 }
--- a/tests/all/gateway.rs
+++ b/tests/all/gateway.rs
@@ -1,6 +1,7 @@
 //! Daemons on the users' platform, where servers register themselves and callers use a directory.
 
 mod announcements;
+mod organisations;
 mod partition;
 
 mod store_epochs;
