Report weights to each daemon what it lacks, and ask fewer lenders

While paths are lost the entry sets have some 45 daemons. Change: a report has what its receiver lacks and one echo; 12 lenders are asked, with a pause that doubles to 4 s while none has a surplus.

--- a/crates/daemon/src/gateway/allowances.rs
+++ b/crates/daemon/src/gateway/allowances.rs
@@ -152,8 +152,8 @@
     }
     let due = ledger.tick(core.now());
     drop(ledger);
-    if let Some((report, receivers)) = due {
-        send(core, update::Update::AllowanceReport(report), &receivers);
+    for (receiver, report) in due {
+        send(core, update::Update::AllowanceReport(report), &[receiver]);
     }
 }
 
--- a/crates/policy/src/allowance.rs
+++ b/crates/policy/src/allowance.rs
@@ -39,7 +39,7 @@
 const BASE_HOLDERS: usize = 8;
 
 /// Number of daemons that are asked for a loan.
-const MAX_LENDERS: usize = 24;
+const MAX_LENDERS: usize = 12;
 
 /// Minimum time between two reports for each daemon that receives them, which bounds what they cost.
 const REPORT_INTERVAL_PER_RECEIVER: Duration = Duration::from_millis(8);
--- a/crates/policy/src/allowance/account.rs
+++ b/crates/policy/src/allowance/account.rs
@@ -18,9 +18,12 @@
 /// Time within which the lenders answer.
 const LOAN_TIME: Duration = Duration::from_millis(120);
 
-/// Time for which nobody is asked after nobody had anything to lend.
+/// Time for which nobody is asked after nobody had anything to lend. It doubles each time.
 const LOAN_PAUSE: Duration = Duration::from_millis(500);
 
+/// Number of times that the pause doubles.
+const MAX_LOAN_DOUBLINGS: u32 = 3;
+
 /// Time after which borrowed tokens expire.
 const LOAN_LIFETIME: Duration = Duration::from_secs(2);
 
@@ -50,6 +53,8 @@
     is_granted: bool,
     /// Until when nobody is asked.
     paused_until: time::Time,
+    /// Number of times in a row that nobody had anything to lend.
+    failures: u32,
 }
 
 /// A token bucket with a part of an allowance.
@@ -210,7 +215,9 @@
             Some(asked_at) if now.since(asked_at) < LOAN_TIME => return true,
             Some(_) if !self.borrowed.is_granted => {
                 self.borrowed.asked_at = None;
-                self.borrowed.paused_until = now + LOAN_PAUSE;
+                let doublings = self.borrowed.failures.min(MAX_LOAN_DOUBLINGS);
+                self.borrowed.paused_until = now + LOAN_PAUSE * 2_u32.pow(doublings);
+                self.borrowed.failures += 1;
                 return false;
             }
             _ => {}
@@ -249,6 +256,7 @@
         self.borrowed.tokens += tokens.max(0.0);
         self.borrowed.expires_at = now + LOAN_LIFETIME;
         self.borrowed.is_granted = true;
+        self.borrowed.failures = 0;
     }
 
     /// Gives the token of a request back that has not run.
--- a/crates/policy/src/allowance/ledger.rs
+++ b/crates/policy/src/allowance/ledger.rs
@@ -6,8 +6,8 @@
 
 use super::{
     BASE_HOLDERS, BASE_RATE, BASE_SHARE, Decision, Limit, MAX_LENDERS, Organisation,
-    REPORT_INTERVAL_PER_RECEIVER, RESEND_INTERVAL, SILENCE_RETENTION, SYNC_TIMEOUT, Tolerance,
-    account, loan, peer, report,
+    REPORT_INTERVAL_PER_RECEIVER, SILENCE_RETENTION, SYNC_TIMEOUT, Tolerance, account, loan, peer,
+    report,
 };
 use crate::rank;
 
@@ -67,9 +67,6 @@
     superseded: map::Set<instance::Instance>,
     /// Number of the last change of an announced weight.
     changes: u64,
-    /// Number of the last change in the latest report.
-    reported: u64,
-    reported_at: time::Time,
     /// Messages about loans that are to be sent.
     loans: Vec<(instance::Instance, loan::Loan)>,
     grants: u64,
@@ -94,8 +91,6 @@
             peers: map::Map::default(),
             superseded: map::Set::default(),
             changes: 0,
-            reported: 0,
-            reported_at: now,
             loans: Vec::new(),
             grants: 0,
             received_grants: map::Map::default(),
@@ -282,7 +277,13 @@
         let own = effective.max(base_of(&self.own));
         let peers = self.peers.iter();
         let weights = peers.map(|(daemon, peer)| peer.weight(organisation, base_of(daemon)));
-        let others: f64 = weights.sum();
+        let mut others: f64 = weights.sum();
+        let is_unheard =
+            |peer: &peer::Peer| peer.is_holder && peer.is_established && !peer.is_synced;
+        if self.peers.values().any(is_unheard) {
+            // This daemon started in a partition: the others may have demand for the whole rate.
+            others = others.max(limit.rate);
+        }
         if own <= 0.0 {
             0.0
         } else {
@@ -328,9 +329,8 @@
         let is_established = !self.is_synced;
         let peer = peer.or_insert_with(|| peer::Peer::new(now, is_established));
         peer.apply(now, report);
-        let echo = report.echoes.iter().find(|echo| echo.daemon == self.own);
-        peer.echoed = echo.map_or(0, |echo| echo.change);
-        peer.is_established |= echo.is_some_and(|echo| echo.change > 0);
+        peer.echoed = report.echo;
+        peer.is_established |= report.echo > 0;
         self.generation += 1;
         self.confirm();
     }
@@ -371,8 +371,8 @@
         }
     }
 
-    /// Follows the demand; returns the report that is due, if any, with its receivers.
-    pub fn tick(&mut self, now: time::Time) -> Option<(report::Report, Vec<instance::Instance>)> {
+    /// Follows the demand; returns the reports that are due, with their receivers.
+    pub fn tick(&mut self, now: time::Time) -> Vec<(instance::Instance, report::Report)> {
         self.peers.retain(|_, peer| {
             let silence = now.since(peer.heard_at);
             let retention = match peer.is_required() {
@@ -398,7 +398,7 @@
             self.peers.values_mut().for_each(peer::Peer::forget);
             self.is_synced = false;
         }
-        self.take_report(now)
+        self.take_reports(now)
     }
 
     /// Whether the daemon has, or may have, parts.
@@ -428,77 +428,60 @@
             .retain(|_, account| !account.is_idle() || account.changed_in > echoed);
     }
 
-    fn take_report(
-        &mut self,
-        now: time::Time,
-    ) -> Option<(report::Report, Vec<instance::Instance>)> {
-        let is_new = self.changes > self.reported;
-        let is_unsynced = |peer: &peer::Peer| peer.is_holder && !peer.is_synced;
-        let is_unsynced = self.is_involved() && self.peers.values().any(is_unsynced);
-        let is_missing = self.echoed() < self.changes || is_unsynced;
-        let is_due = now.since(self.reported_at) >= RESEND_INTERVAL;
-        let is_asking = is_unsynced && self.peers.values().any(|peer| peer.asked_at.is_none());
-        let is_awaited = self.peers.values().any(|peer| peer.awaits_echo);
+    /// Reports that are due, with their receivers.
+    fn take_reports(&mut self, now: time::Time) -> Vec<(instance::Instance, report::Report)> {
         let receivers = u32::try_from(self.receivers().len()).unwrap_or(u32::MAX);
         let interval = REPORT_INTERVAL_PER_RECEIVER.saturating_mul(receivers);
-        if now.since(self.reported_at) < interval {
-            return None;
-        }
-        if self.peers.is_empty() || !(is_new || is_awaited || is_asking || (is_missing && is_due)) {
-            return None;
-        }
-        self.reported_at = now;
-        let receivers = self.receivers();
-        let report = self.report(now);
-        for peer in self.peers.values_mut() {
-            peer.awaits_echo = false;
-        }
-        Some((report, receivers))
-    }
-
-    fn report(&mut self, now: time::Time) -> report::Report {
-        let is_active = |peer: &&peer::Peer| {
-            peer.awaits_echo || (peer.is_required() && now.since(peer.heard_at) < ACTIVE_TIME)
+        let (changes, is_involved) = (self.changes, self.is_involved());
+        let is_due = |peer: &peer::Peer| {
+            let asks = is_involved && peer.is_holder;
+            peer.is_report_due(now, changes, asks, interval)
         };
-        let active = self.peers.values().filter(is_active);
-        let since = active.map(|peer| peer.echoed).min();
-        let since = since.unwrap_or(self.changes).min(self.changes);
-        let changed = self.accounts.iter();
-        let changed = changed.filter(|(_, account)| account.changed_in > since);
-        let mut changed: Vec<_> = changed.collect();
+        if !self.peers.values().any(is_due) {
+            return Vec::new();
+        }
+        let mut changed: Vec<_> = self.accounts.iter().collect();
         changed.sort_unstable_by_key(|(_, account)| account.changed_in);
-        let is_whole = changed.len() <= report::MAX_CLAIMS;
-        changed.truncate(report::MAX_CLAIMS);
-        let last = changed.last().map(|(_, account)| account.changed_in);
-        let upto = last.filter(|_| !is_whole).unwrap_or(self.changes);
-        let claims = changed
-            .into_iter()
-            .map(|(organisation, account)| report::Claim {
+        let claims = changed.into_iter().map(|(organisation, account)| {
+            let claim = report::Claim {
                 organisation: *organisation,
                 weight: account.announced,
-            });
-        let claims = claims.collect();
-        self.reported = upto;
-        let mut echoes = Vec::with_capacity(self.peers.len());
-        for (daemon, peer) in &mut self.peers {
+            };
+            (account.changed_in, claim)
+        });
+        let claims: Vec<_> = claims.collect();
+        let mut reports = Vec::new();
+        for (daemon, peer) in self.peers.iter_mut().filter(|(_, peer)| is_due(peer)) {
+            let since = peer.echoed.min(changes);
+            let first = claims.partition_point(|(changed_in, _)| *changed_in <= since);
+            let mut unknown = &claims[first..];
+            let is_whole = unknown.len() <= report::MAX_CLAIMS;
+            let mut upto = changes;
+            if !is_whole {
+                unknown = &unknown[..report::MAX_CLAIMS];
+                upto = unknown
+                    .last()
+                    .map_or(changes, |(changed_in, _)| *changed_in);
+            }
+            peer.awaits_echo = false;
+            peer.sent_upto = upto;
+            peer.sent_at = Some(now);
             if peer.is_holder && !peer.is_synced {
                 peer.asked_at.get_or_insert(now);
             }
-            echoes.push(report::Echo {
-                daemon: *daemon,
-                change: peer.applied,
-            });
-        }
-        report::Report {
-            from: self.own,
-            vm: self.vm,
-            since,
-            upto,
-            claims,
-            is_whole,
-            echoes,
-            is_last: false,
+            let report = report::Report {
+                from: self.own,
+                vm: self.vm,
+                since,
+                upto,
+                claims: unknown.iter().map(|(_, claim)| *claim).collect(),
+                is_whole,
+                echo: peer.applied,
+                is_last: false,
+            };
+            reports.push((*daemon, report));
         }
+        reports
     }
 
     /// The report of a daemon that stops and admits no request any more.
@@ -511,7 +494,7 @@
             upto: self.changes,
             claims: Vec::new(),
             is_whole: true,
-            echoes: Vec::new(),
+            echo: 0,
             is_last: true,
         }
     }
--- a/crates/policy/src/allowance/peer.rs
+++ b/crates/policy/src/allowance/peer.rs
@@ -1,8 +1,10 @@
 //! What is known of another daemon.
 
+use std::time::Duration;
+
 use monsooncart_types::{map, time};
 
-use super::{Organisation, SYNC_TIMEOUT, report, weight};
+use super::{Organisation, RESEND_INTERVAL, SYNC_TIMEOUT, report, weight};
 
 /// Another daemon with its weights.
 #[derive(Clone, Debug)]
@@ -28,6 +30,10 @@
     pub is_synced: bool,
     /// Whether it waits for an echo.
     pub awaits_echo: bool,
+    /// Number of the last change in the latest report to it.
+    pub sent_upto: u64,
+    /// When the latest report was sent to it.
+    pub sent_at: Option<time::Time>,
 }
 
 impl Peer {
@@ -44,6 +50,8 @@
             asked_at: None,
             is_synced: false,
             awaits_echo: false,
+            sent_upto: 0,
+            sent_at: None,
         }
     }
 
@@ -80,6 +88,27 @@
         self.is_holder && !self.is_synced && self.asked_at.is_none_or(is_asked_lately)
     }
 
+    /// Whether a report to it is due, given the number of this daemon's last change. `asks` tells
+    /// whether this daemon needs its weights.
+    pub fn is_report_due(
+        &self,
+        now: time::Time,
+        changes: u64,
+        asks: bool,
+        interval: Duration,
+    ) -> bool {
+        if !self.is_addressed() {
+            return false;
+        }
+        let Some(sent_at) = self.sent_at else {
+            return changes > 0 || asks || self.awaits_echo;
+        };
+        let age = now.since(sent_at);
+        let is_new = changes > self.sent_upto || self.awaits_echo;
+        let is_missing = changes > self.echoed || (asks && !self.is_synced);
+        age >= interval && (is_new || (is_missing && age >= RESEND_INTERVAL))
+    }
+
     /// Whether reports are sent to it.
     pub fn is_addressed(&self) -> bool {
         self.is_holder || self.is_required() || self.awaits_echo
--- a/crates/policy/src/allowance/report.rs
+++ b/crates/policy/src/allowance/report.rs
@@ -16,16 +16,7 @@
     pub weight: weight::Weight,
 }
 
-/// The number of the last change that the reporting daemon has of another one.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
-pub struct Echo {
-    /// The other daemon.
-    pub daemon: instance::Instance,
-    /// Number of the change.
-    pub change: u64,
-}
-
-/// Changes of a daemon's weights, which it numbers.
+/// Changes of a daemon's weights, which it numbers, for one other daemon.
 #[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct Report {
     /// The reporting daemon.
@@ -40,8 +31,8 @@
     pub claims: Vec<Claim>,
     /// Whether no later change is left out for lack of room.
     pub is_whole: bool,
-    /// What it has of the others.
-    pub echoes: Vec<Echo>,
+    /// Number of the last change that it has of the receiver.
+    pub echo: u64,
     /// Whether the daemon stops and uses no part any more.
     pub is_last: bool,
 }
--- a/crates/policy/tests/allowance/fleet.rs
+++ b/crates/policy/tests/allowance/fleet.rs
@@ -149,7 +149,9 @@
     pub fn stop(&mut self, vm: usize) {
         let report = self.daemons[vm].ledger.last_report();
         let receivers = self.daemons[vm].ledger.receivers();
-        self.send_report(vm, &report, &receivers);
+        for receiver in receivers {
+            self.send_report(vm, receiver, report.clone());
+        }
         self.daemons[vm].is_running = false;
     }
 
@@ -178,12 +180,10 @@
         }
     }
 
-    fn send_report(&mut self, from: usize, report: &report::Report, to: &[instance::Instance]) {
-        self.reports += to.len() as u64;
-        self.claims += (report.claims.len() * to.len()) as u64;
-        for receiver in to {
-            self.send(from, *receiver, Content::Report(report.clone()));
-        }
+    fn send_report(&mut self, from: usize, to: instance::Instance, report: report::Report) {
+        self.reports += 1;
+        self.claims += report.claims.len() as u64;
+        self.send(from, to, Content::Report(report));
     }
 
     fn send(&mut self, from: usize, to: instance::Instance, content: Content) {
@@ -236,8 +236,8 @@
             if !is_due || !daemon.is_running || daemon.is_paused {
                 continue;
             }
-            if let Some((report, receivers)) = daemon.ledger.tick(self.now) {
-                self.send_report(vm, &report, &receivers);
+            for (to, report) in daemon.ledger.tick(self.now) {
+                self.send_report(vm, to, report);
             }
         }
     }
