Let requests wait for room, in the order of what costs callers least

Cause: a request that found no server with room was refused at once, also where there is room 100 ms later; what fails fast looked free while sound servers were full; a less urgent kind was served better than an urgent one, as the bound at the servers alone knew priorities. Change: a queue of each daemon and service, ordered by priority, in time before late, latest start; what is refused is of the lowest priority and needs most work. On with wait_for_room.

--- a/benches/policy.rs
+++ b/benches/policy.rs
@@ -70,6 +70,7 @@
             weight: 1,
             repeatable: true,
             max_attempts: 4,
+            route: handle::Route::default(),
             priority: 0,
             objective: None,
             expected_response_bytes: 0,
--- a/crates/config/src/parse/settings.rs
+++ b/crates/config/src/parse/settings.rs
@@ -191,6 +191,7 @@
         "lifetime_max",
         "retries",
         "cover_servers",
+        "wait_for_room",
         "allowance_tolerance",
     ];
     let fields = reader.read_fields(node, GATEWAY, known)?;
@@ -221,6 +222,10 @@
         Some(node) => reader.read_bool(&node)?,
         None => false,
     };
+    let wait_for_room = match fields.get("wait_for_room") {
+        Some(node) => reader.read_bool(&node)?,
+        None => false,
+    };
     let allowance_tolerance = match fields.get("allowance_tolerance") {
         Some(node) => parse_allowance_tolerance(reader, &node)?,
         None => settings::AllowanceTolerance::default(),
@@ -236,6 +241,7 @@
         lifetime_max: lifetime_max?,
         retries: retries?,
         cover_servers,
+        wait_for_room,
         allowance_tolerance,
     })
 }
--- a/crates/daemon/src/components.rs
+++ b/crates/daemon/src/components.rs
@@ -111,6 +111,7 @@
                 instance: self.core.instance,
                 retries: gateway::retry_limits(gateway),
                 covers_servers: gateway.cover_servers,
+                waits: gateway.wait_for_room,
             }),
             None => Arc::new(policies::Balancer {
                 instance: self.core.instance,
--- a/crates/daemon/src/policies.rs
+++ b/crates/daemon/src/policies.rs
@@ -32,6 +32,8 @@
     pub retries: selector::budget::Limits,
     /// Whether healthy servers are kept in use while many requests fail.
     pub covers_servers: bool,
+    /// Whether requests wait for room.
+    pub waits: bool,
 }
 
 impl interface::Policies for Selector {
@@ -39,7 +41,8 @@
         let config = selector::Config::new(rand::random())
             .instance(self.instance)
             .retries(self.retries)
-            .covers_servers(self.covers_servers);
+            .covers_servers(self.covers_servers)
+            .waits(self.waits);
         Box::new(config.build())
     }
 }
--- a/crates/policy/benches/fleet.rs
+++ b/crates/policy/benches/fleet.rs
@@ -110,6 +110,7 @@
             weight: 1,
             repeatable: false,
             max_attempts: 2,
+            route: handle::Route::default(),
             priority: 0,
             objective: None,
             expected_response_bytes: 0,
--- a/crates/policy/src/event.rs
+++ b/crates/policy/src/event.rs
@@ -19,6 +19,8 @@
     pub repeatable: bool,
     /// Maximum number of servers that the request may be sent to.
     pub max_attempts: u32,
+    /// Route of the request.
+    pub route: handle::Route,
     /// Priority under load; 0 is the highest.
     pub priority: u32,
     /// Latency objective of the request; `None` means that of the service.
--- a/crates/policy/src/handle.rs
+++ b/crates/policy/src/handle.rs
@@ -10,6 +10,10 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct Organisation(pub u32);
 
+/// A route, whose requests need similar work; the default stands for all that are not told apart.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Route(pub u64);
+
 /// A request received from a caller.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, derive_more::Display)]
 pub struct Request(pub u64);
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -29,3 +29,4 @@
 pub mod selector;
 pub mod service;
 pub mod slots;
+pub mod waiting;
--- a/crates/policy/src/selector.rs
+++ b/crates/policy/src/selector.rs
@@ -11,6 +11,7 @@
 //! refusal or the disconnection of its caller; no request is sent to more servers than it allows;
 //! an unrepeatable request has at most one attempt that may have been executed, and none after it.
 
+mod admission;
 pub mod belief;
 pub mod budget;
 mod choice;
@@ -32,7 +33,7 @@
 use rand::RngExt as _;
 use rand::rngs::SmallRng;
 
-use crate::{action, event, handle, inventory, outcome, path, poison, service};
+use crate::{action, event, handle, inventory, outcome, path, poison, service, waiting};
 
 pub use config::Config;
 
@@ -55,6 +56,7 @@
 #[derive(Clone, Debug)]
 struct Pending {
     arrival: event::Arrival,
+    arrived_at: time::Time,
     attempts: Vec<handle::Attempt>,
     /// Servers that the request was sent to; they count towards its maximum number of attempts.
     tried_servers: Vec<handle::Server>,
@@ -88,6 +90,11 @@
     attempts_sent: u64,
     budget: budget::Budget,
     coverage: coverage::Coverage,
+    /// Whether requests wait for room.
+    waits: bool,
+    queue: waiting::Queue,
+    /// Running mean of the time to a complete response of attempts that found a free slot, by route.
+    work_by_route: map::Map<handle::Route, Duration>,
     poison: poison::Detector,
     /// Running mean of the time to a complete response; `None` before the first one.
     mean_latency: Option<Duration>,
@@ -107,6 +114,29 @@
 
 impl service::Policy for Selector {
     fn handle(&mut self, now: time::Time, event: event::Event, actions: &mut Vec<action::Action>) {
+        self.apply(now, event, actions);
+        self.serve_queue(now, actions);
+    }
+
+    fn is_idle(&self) -> bool {
+        self.in_flight.is_empty()
+            && self.queue.is_empty()
+            && self.relays.is_idle()
+            && !self.path.is_lost()
+    }
+
+    fn digest(&mut self, _now: time::Time) -> Vec<(handle::Server, event::Digest)> {
+        let servers = self.servers.iter_mut();
+        servers.filter_map(server::Server::take_digest).collect()
+    }
+
+    fn view(&self, now: time::Time) -> Vec<service::View> {
+        self.servers.iter().map(|s| s.view(now)).collect()
+    }
+}
+
+impl Selector {
+    fn apply(&mut self, now: time::Time, event: event::Event, actions: &mut Vec<action::Action>) {
         match event {
             event::Event::Inventory(inventory) => self.apply_inventory(now, inventory),
             event::Event::Arrive(arrival) => self.admit(now, arrival, actions),
@@ -177,21 +207,6 @@
         }
     }
 
-    fn is_idle(&self) -> bool {
-        self.in_flight.is_empty() && self.relays.is_idle() && !self.path.is_lost()
-    }
-
-    fn digest(&mut self, _now: time::Time) -> Vec<(handle::Server, event::Digest)> {
-        let servers = self.servers.iter_mut();
-        servers.filter_map(server::Server::take_digest).collect()
-    }
-
-    fn view(&self, now: time::Time) -> Vec<service::View> {
-        self.servers.iter().map(|s| s.view(now)).collect()
-    }
-}
-
-impl Selector {
     fn server_mut(&mut self, server: handle::Server) -> Option<&mut server::Server> {
         let index = *self.indices.get(&server)?;
         self.servers.get_mut(index)
@@ -263,6 +278,7 @@
         }
         let pending = Pending {
             arrival,
+            arrived_at: now,
             attempts: Vec::new(),
             tried_servers: Vec::new(),
             unreachable_servers: Vec::new(),
@@ -270,13 +286,18 @@
             relayed_attempts: 0,
             may_have_run: false,
         };
-        let target = self.select_target(now, &pending);
+        // Those that wait go before it, unless it costs more to let it wait.
+        let target = match self.queue.is_empty() {
+            true => self.select_target(now, &pending),
+            false => None,
+        };
         self.requests.insert(request, pending);
+        self.queue.record_arrival(now, target.is_some());
         match target {
             Some(target) => self.send_to(now, request, target, actions),
             None => {
                 let reason = self.unavailable_reason();
-                self.refuse(now, request, reason, actions);
+                self.wait_or_refuse(now, request, reason, actions);
             }
         }
     }
@@ -299,6 +320,7 @@
 
     fn cancel_request(&mut self, request: handle::Request, actions: &mut Vec<action::Action>) {
         if let Some(pending) = self.requests.remove(&request) {
+            self.queue.remove(request);
             self.cancel_attempts(&pending.attempts, actions);
         }
     }
@@ -333,6 +355,7 @@
         };
         self.attempts_sent += 1;
         let attempt = handle::Attempt(self.attempts_sent);
+        self.queue.record_sent(now);
         let target = &mut self.servers[index];
         let server = target.spec.handle;
         let grounds = target.grounds(now);
@@ -345,6 +368,7 @@
             server,
             started_millis: target.spec.started_millis,
             sent_at: now,
+            route: pending.arrival.route,
             unqueued,
             responded: false,
             slow_recorded: false,
@@ -384,7 +408,11 @@
             .typical_latency()
             .mul_f64(RETRY_AFTER_RATIO * (0.5 + jitter));
         // Before the first retry delay ends, a retry would be refused again.
-        let retry_after = retry_after.clamp(min, max) + self.time_until_available(now);
+        let queued = match self.queue.is_empty() {
+            true => Duration::ZERO,
+            false => self.queue.time_to_empty(now),
+        };
+        let retry_after = retry_after.clamp(min, max) + queued + self.time_until_available(now);
         let refusal = outcome::Refusal {
             reason,
             execution,
--- /dev/null
+++ b/crates/policy/src/selector/admission.rs
@@ -0,0 +1,118 @@
+//! Requests that wait for room, instead of being refused or risked at a server that is in doubt.
+
+use std::time::Duration;
+
+use monsooncart_types::time;
+
+use super::choice::OBJECTIVE_SHARE;
+use super::{Pending, Selector, path_loss};
+use crate::{action, event, handle, outcome, waiting};
+
+/// Probability of failure above which a request rather waits for another server.
+const MAX_RISK: f64 = 0.4;
+
+/// Share of its latency objective for which a request waits for a server that is trusted.
+const TRUST_WAIT_SHARE: f64 = 0.3;
+
+/// Number of waiting requests that are tried when there may be room: different requests may go to
+/// different servers.
+const MAX_CANDIDATES: usize = 3;
+
+impl Selector {
+    /// Highest probability of failure at which a request is sent now.
+    pub(super) fn max_risk(&self, now: time::Time, pending: &Pending) -> f64 {
+        let objective = self.latency_objective(&pending.arrival);
+        let waits =
+            self.waits && now.since(pending.arrived_at) < objective.mul_f64(TRUST_WAIT_SHARE);
+        if waits { MAX_RISK } else { 1.0 }
+    }
+
+    /// Expected time of a request at a server: the work of its route, and the time that requests spend
+    /// in the queues of the servers at present.
+    fn expected_work(&self, arrival: &event::Arrival) -> Duration {
+        let typical = self.typical_latency();
+        let queueing = typical.saturating_sub(self.mean_service_time.unwrap_or(typical));
+        let of_route = self.work_by_route.get(&arrival.route);
+        of_route.map_or(typical, |work| *work + queueing)
+    }
+
+    /// Lets a request that finds no room wait, if it is expected to be served in its time; refuses it
+    /// otherwise, or another one that waits and costs less.
+    pub(super) fn wait_or_refuse(
+        &mut self,
+        now: time::Time,
+        request: handle::Request,
+        reason: outcome::Reason,
+        actions: &mut Vec<action::Action>,
+    ) {
+        let Some(pending) = self.requests.get(&request) else {
+            return;
+        };
+        // Servers that ask for a delay are waited for by the caller, who is told the time.
+        let may_wait = self.waits
+            && reason == outcome::Reason::Overload
+            && !self.path.is_lost()
+            && self.time_until_available(now).is_zero();
+        if !may_wait {
+            self.refuse(now, request, reason, actions);
+            return;
+        }
+        let arrival = &pending.arrival;
+        let objective = self.latency_objective(arrival);
+        let waiter = waiting::Waiter {
+            request,
+            priority: arrival.priority,
+            arrived_at: pending.arrived_at,
+            due_at: pending.arrived_at + objective.mul_f64(OBJECTIVE_SHARE),
+            deadline: arrival.deadline,
+            work: self.expected_work(arrival),
+        };
+        match self.queue.admit(now, waiter) {
+            waiting::Admission::Waits => {}
+            waiting::Admission::Replaces(other) => {
+                self.refuse(now, other.request, reason, actions);
+            }
+            waiting::Admission::Refused => self.refuse(now, request, reason, actions),
+        }
+    }
+
+    /// Sends the requests that wait while there is room, and refuses those that can no longer be served
+    /// in their time.
+    pub(super) fn serve_queue(&mut self, now: time::Time, actions: &mut Vec<action::Action>) {
+        if self.queue.is_empty() {
+            return;
+        }
+        for expired in self.queue.expire(now) {
+            self.refuse(now, expired.request, outcome::Reason::Overload, actions);
+        }
+        while let Some((request, target)) = self.next_from_queue(now) {
+            self.queue.take(request);
+            let is_retry = self
+                .requests
+                .get(&request)
+                .is_some_and(|pending| !pending.tried_servers.is_empty());
+            if is_retry {
+                self.budget.record_retry(now);
+            }
+            self.send_to(now, request, target, actions);
+        }
+    }
+
+    /// The next request that waits and for which there is room.
+    fn next_from_queue(&mut self, now: time::Time) -> Option<(handle::Request, path_loss::Target)> {
+        for request in self.queue.candidates(now, MAX_CANDIDATES) {
+            let Some(pending) = self.requests.get(&request).cloned() else {
+                self.queue.remove(request);
+                continue;
+            };
+            let is_retry = !pending.tried_servers.is_empty();
+            if is_retry && !self.budget.allows_retry(now, self.daemon_count()) {
+                continue;
+            }
+            if let Some(target) = self.select_target(now, &pending) {
+                return Some((request, target));
+            }
+        }
+        None
+    }
+}
--- a/crates/policy/src/selector/choice.rs
+++ b/crates/policy/src/selector/choice.rs
@@ -28,7 +28,7 @@
 
 /// Share of the latency objective that waiting and processing may take on average; the rest covers
 /// requests that take longer than the mean.
-const OBJECTIVE_SHARE: f64 = 0.8;
+pub(super) const OBJECTIVE_SHARE: f64 = 0.8;
 
 /// The lowest and the second lowest cost; infinite if there are too few.
 fn two_lowest(costs: impl Iterator<Item = f64>) -> (f64, f64) {
@@ -129,7 +129,9 @@
                 && !pending.unreachable_servers.contains(&handle)
                 && crashed != Some(handle)
         });
+        let max_risk = self.max_risk(now, pending);
         let costs = eligible.filter_map(|(index, s)| s.cost(now, &profile).map(|c| (index, c)));
+        let costs = costs.filter(|(_, cost)| cost.failure_probability <= max_risk);
         costs.collect()
     }
 
--- a/crates/policy/src/selector/config.rs
+++ b/crates/policy/src/selector/config.rs
@@ -7,7 +7,7 @@
 use rand::rngs::SmallRng;
 
 use crate::selector::{Selector, budget, coverage, rate_limit, relay};
-use crate::{path, poison};
+use crate::{path, poison, waiting};
 
 /// Builds a [`Selector`].
 #[derive(Clone, Copy, Debug)]
@@ -15,6 +15,7 @@
     pub(super) instance: instance::Instance,
     retries: budget::Limits,
     covers_servers: bool,
+    waits: bool,
     seed: u64,
 }
 
@@ -26,6 +27,7 @@
             instance: instance::Instance(seed),
             retries: budget::Limits::default(),
             covers_servers: false,
+            waits: false,
             seed,
         }
     }
@@ -51,6 +53,13 @@
         self
     }
 
+    /// Sets whether requests wait for room, and rather than for a server that is in doubt.
+    #[must_use]
+    pub fn waits(mut self, waits: bool) -> Self {
+        self.waits = waits;
+        self
+    }
+
     /// Builds a selector without servers.
     #[must_use]
     pub fn build(self) -> Selector {
@@ -64,6 +73,9 @@
             attempts_sent: 0,
             budget: budget::Budget::new(self.retries),
             coverage: coverage::Coverage::new(self.covers_servers),
+            waits: self.waits,
+            queue: waiting::Queue::default(),
+            work_by_route: map::Map::default(),
             poison: poison::Detector::default(),
             mean_latency: None,
             mean_service_time: None,
--- a/crates/policy/src/selector/evidence.rs
+++ b/crates/policy/src/selector/evidence.rs
@@ -17,6 +17,9 @@
 /// A service time longer than this multiple of the mean counts as that multiple.
 const MAX_SERVICE_TIME_RATIO: u32 = 2;
 
+/// Maximum number of routes whose work is remembered.
+const MAX_ROUTES: usize = 1024;
+
 /// Weight of a new value in the running mean of the latency.
 const LATENCY_MEAN_WEIGHT: f64 = 0.05;
 
@@ -47,6 +50,7 @@
                     .map(|mean| mean * MAX_SERVICE_TIME_RATIO);
                 let service_time = latency.min(max.unwrap_or(latency));
                 self.mean_service_time = Some(update_mean(self.mean_service_time, service_time));
+                self.record_work(in_flight.route, latency);
             }
             if let Some(fingerprint) = in_flight.fingerprint {
                 self.poison.record_answer(fingerprint);
@@ -98,6 +102,16 @@
         self.record_path_failure(now, in_flight, completion.outcome, actions);
     }
 
+    /// Records the time of an attempt that found a free slot.
+    fn record_work(&mut self, route: handle::Route, work: Duration) {
+        let known = self.work_by_route.get(&route).copied();
+        if known.is_some() || self.work_by_route.len() < MAX_ROUTES {
+            // The same bound as for the service: a few slow servers say nothing about the route.
+            let work = known.map_or(work, |mean| work.min(mean * MAX_SERVICE_TIME_RATIO));
+            self.work_by_route.insert(route, update_mean(known, work));
+        }
+    }
+
     /// Reports a changed state of a server to operators.
     pub(super) fn report_state(
         &mut self,
--- a/crates/policy/src/selector/in_flight.rs
+++ b/crates/policy/src/selector/in_flight.rs
@@ -17,6 +17,8 @@
     pub sent_at: time::Time,
     /// Whether the server had a free slot, as far as known, when the attempt was sent.
     pub unqueued: bool,
+    /// Route of the request.
+    pub route: handle::Route,
     /// Whether the server responded, if only with a head.
     pub responded: bool,
     /// Whether the attempt was already recorded as slow.
--- a/crates/policy/src/selector/retry.rs
+++ b/crates/policy/src/selector/retry.rs
@@ -57,7 +57,14 @@
             _ if !pending.may_have_run => outcome::Reason::NoServer,
             _ => outcome::Reason::Exhausted,
         };
-        self.refuse(now, request, reason, actions);
+        let is_shed = matches!(completion.outcome, outcome::Outcome::Shed { .. });
+        let has_attempts = self.attempts_left(&pending) > 0;
+        let allows_retry = self.budget.allows_retry(now, self.daemon_count());
+        if may_retry && is_shed && has_attempts && allows_retry {
+            self.wait_or_refuse(now, request, reason, actions);
+        } else {
+            self.refuse(now, request, reason, actions);
+        }
     }
 
     /// Sends a second attempt of a repeatable request if its only attempt, which has been in flight
--- a/crates/policy/tests/balancer/fixture.rs
+++ b/crates/policy/tests/balancer/fixture.rs
@@ -124,6 +124,7 @@
             weight: 1,
             repeatable: true,
             max_attempts: 4,
+            route: handle::Route::default(),
             priority: 0,
             objective: None,
             expected_response_bytes: 0,
--- a/crates/policy/tests/balancer/simulation.rs
+++ b/crates/policy/tests/balancer/simulation.rs
@@ -234,6 +234,7 @@
             weight: 1,
             repeatable,
             max_attempts: 4,
+            route: handle::Route::default(),
             priority: 0,
             objective: None,
             expected_response_bytes: 0,
--- a/crates/policy/tests/selector/fixture.rs
+++ b/crates/policy/tests/selector/fixture.rs
@@ -15,6 +15,13 @@
 
 pub const MS: Duration = Duration::from_millis(1);
 
+/// Retry budget.
+const LIMITS: budget::Limits = budget::Limits {
+    share: 0.2,
+    slack: 50.0,
+    window: Duration::from_secs(10),
+};
+
 /// A selector with a clock that the test advances.
 pub struct Harness {
     pub policy: Selector,
@@ -75,16 +82,23 @@
     harness_with_seed(servers, 7)
 }
 
+/// A harness whose requests wait for room.
+pub fn waiting_harness(servers: Vec<inventory::Server>) -> Harness {
+    let mut harness = harness(Vec::new());
+    harness.policy = Config::new(7)
+        .instance(INSTANCE)
+        .retries(LIMITS)
+        .waits(true)
+        .build();
+    harness.handle(inventory(servers));
+    harness
+}
+
 pub fn harness_with_seed(servers: Vec<inventory::Server>, seed: u64) -> Harness {
-    let limits = budget::Limits {
-        share: 0.2,
-        slack: 50.0,
-        window: Duration::from_secs(10),
-    };
     let mut harness = Harness {
         policy: Config::new(seed)
             .instance(INSTANCE)
-            .retries(limits)
+            .retries(LIMITS)
             .covers_servers(true)
             .build(),
         now: time::Time::from_millis(60_000),
@@ -113,6 +127,7 @@
             weight: 1,
             repeatable,
             max_attempts: 2,
+            route: handle::Route::default(),
             priority: 1,
             objective: Some(800 * MS),
             expected_response_bytes: 1000,
--- a/crates/policy/tests/selector/main.rs
+++ b/crates/policy/tests/selector/main.rs
@@ -1,11 +1,13 @@
 //! Tests of the policy that selects servers by expected cost.
 
+mod admission;
 mod belief;
 mod budget;
 mod choice;
 mod coverage;
 mod fixture;
 mod invariants;
+mod load;
 mod outcomes;
 mod overload;
 mod path_loss;
--- a/crates/policy/tests/selector/overload.rs
+++ b/crates/policy/tests/selector/overload.rs
@@ -3,13 +3,13 @@
 //! The servers process requests in order of arrival, so that a full queue makes every response
 //! late without serving more of them.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::BTreeMap;
 use std::time::Duration;
 
-use monsooncart_policy::{event, handle, outcome, rank};
-use monsooncart_types::time;
+use monsooncart_policy::{event, outcome, rank};
 
 use crate::fixture::{self, MS};
+use crate::load::{Job, Server};
 
 const SERVERS: u32 = 8;
 const SLOTS: u32 = 6;
@@ -23,20 +23,6 @@
 /// Requests per second that the servers can process.
 const CAPACITY: f64 = (SERVERS * SLOTS) as f64 / 0.42;
 
-/// A request at a server.
-struct Job {
-    attempt: handle::Attempt,
-    arrived_at: time::Time,
-    work: Duration,
-}
-
-/// A server with slots and a queue.
-#[derive(Default)]
-struct Server {
-    running: Vec<(time::Time, Job)>,
-    queue: VecDeque<Job>,
-}
-
 /// Counts of a run.
 #[derive(Debug, Default)]
 struct Counts {
@@ -45,22 +31,6 @@
     refused: u32,
 }
 
-impl Server {
-    fn start_queued(&mut self, now: time::Time) {
-        while self.running.len() < SLOTS as usize {
-            let Some(job) = self.queue.pop_front() else {
-                return;
-            };
-            self.running.push((now + job.work, job));
-        }
-    }
-
-    fn finished(&mut self, now: time::Time) -> Vec<Job> {
-        let finished = self.running.extract_if(.., |(ends_at, _)| *ends_at <= now);
-        finished.map(|(_, job)| job).collect()
-    }
-}
-
 /// Work of the request with this number.
 fn work(number: u64) -> Duration {
     let [min, max] = WORK_MILLIS;
@@ -77,7 +47,8 @@
             })
             .collect(),
     );
-    let mut servers: BTreeMap<u32, Server> = (0..SERVERS).map(|n| (n, Server::default())).collect();
+    let mut servers: BTreeMap<u32, Server> =
+        (0..SERVERS).map(|n| (n, Server::new(SLOTS))).collect();
     let mut counts = Counts::default();
     let millis = u64::try_from(duration.as_millis()).expect("a short run");
     let mut sent_requests = 0_u64;
--- a/crates/policy/tests/selector/rate_limit.rs
+++ b/crates/policy/tests/selector/rate_limit.rs
@@ -208,6 +208,7 @@
             weight: 1,
             repeatable: number.is_multiple_of(2),
             max_attempts: 2,
+            route: handle::Route::default(),
             priority: 1,
             objective: Some(800 * MS),
             expected_response_bytes: 1000,
--- a/crates/policy/tests/selector/retry_after.rs
+++ b/crates/policy/tests/selector/retry_after.rs
@@ -187,6 +187,7 @@
                     weight: 1,
                     repeatable: u.ratio(1, 2)?,
                     max_attempts: 3,
+                    route: handle::Route::default(),
                     priority: 1,
                     objective: Some(800 * MS),
                     expected_response_bytes: 1000,
--- a/crates/proxy/src/request.rs
+++ b/crates/proxy/src/request.rs
@@ -16,7 +16,9 @@
 use monsooncart_types::time;
 use tokio::time::Instant;
 
-use crate::{account, activity, body, claim, engine, header, pass, permit, problem, relay};
+use crate::{
+    account, activity, body, claim, engine, header, pass, permit, problem, relay, response_sizes,
+};
 
 const ENTRIES_PATH: &str = "/v1/entries";
 
@@ -201,6 +203,11 @@
             weight: options.weight,
             repeatable: options.repeatable,
             max_attempts: options.max_attempts,
+            route: options
+                .route_key
+                .as_ref()
+                .map(response_sizes::Key::handle)
+                .unwrap_or_default(),
             priority: options.priority,
             objective: options.objective,
             expected_response_bytes: options
--- a/crates/proxy/src/response_sizes.rs
+++ b/crates/proxy/src/response_sizes.rs
@@ -3,6 +3,7 @@
 use std::sync::Mutex;
 
 use monsooncart_config::routing;
+use monsooncart_policy::{handle, rank};
 use monsooncart_types::map;
 
 use crate::lock::lock;
@@ -27,6 +28,11 @@
     pub fn new(route: &routing::Route) -> Self {
         Self(format!("{}{}", route.host, route.prefix))
     }
+
+    /// Handle of the route in policies.
+    pub fn handle(&self) -> handle::Route {
+        handle::Route(rank::hash(self.0.as_bytes()))
+    }
 }
 
 impl ResponseSizes {
