Bound the bodies that a daemon holds for slow callers and servers

Cause: nothing bounded what a daemon holds for callers and servers that read slowly; its VM may have 160 MB, a response is buffered up to 1 MiB, a request up to 64 KiB and more while it is streamed. Change: bodies count towards a quarter of the VM's memory (memory_mb). Beyond it a request with a body above 4 KB gets 503 as not run; small ones pass, responses are always delivered.

--- a/crates/config/src/parse/settings.rs
+++ b/crates/config/src/parse/settings.rs
@@ -190,6 +190,7 @@
         "grace",
         "lifetime_max",
         "retries",
+        "memory_mb",
         "cover_servers",
         "wait_for_room",
         "allowance_tolerance",
@@ -222,6 +223,10 @@
         Some(node) => reader.read_bool(&node)?,
         None => false,
     };
+    let memory_mb = match fields.get("memory_mb") {
+        Some(node) => Some(reader.read_non_negative(&node, NON_NEGATIVE)?),
+        None => None,
+    };
     let wait_for_room = match fields.get("wait_for_room") {
         Some(node) => reader.read_bool(&node)?,
         None => false,
@@ -240,6 +245,7 @@
         grace: grace?,
         lifetime_max: lifetime_max?,
         retries: retries?,
+        memory_mb,
         cover_servers,
         wait_for_room,
         allowance_tolerance,
--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -64,6 +64,8 @@
     pub retries: RetryBudget,
     /// Whether healthy servers are kept in use while many requests fail.
     pub cover_servers: bool,
+    /// Memory of the VM, in megabytes; `None` for no bound on the bodies that the daemon holds.
+    pub memory_mb: Option<f64>,
     /// Whether requests wait for room at the servers.
     pub wait_for_room: bool,
     /// By how much all daemons together may exceed an organisation's allowance.
--- a/crates/daemon/src/components.rs
+++ b/crates/daemon/src/components.rs
@@ -134,6 +134,7 @@
             .policies(policies.unwrap_or(default_policies))
             .pool(protocols.map_or_else(Default::default, |_| gateway::pool_limits(settings)))
             .host_routing(protocols.map(|protocols| protocols.headers.clone()))
+            .max_body_bytes(gateway::max_body_bytes(settings))
             .registry(&self.registry)
             .build()
             .map_err(error::Error::Proxy)?;
--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -83,6 +83,12 @@
 /// callers' responses and membership probes.
 const UPLOAD_LINK_SHARE: f64 = 0.4;
 
+/// Share of the VM's memory that bodies may take; connections, tables and the process itself take the
+/// rest.
+const BODY_MEMORY_SHARE: f64 = 0.25;
+
+const BYTES_PER_MEGABYTE: f64 = 1_000_000.0;
+
 /// Bytes per second of one Mbit/s.
 const BYTES_PER_SECOND_PER_MBPS: f64 = 125_000.0;
 
@@ -146,6 +152,13 @@
     }
 }
 
+/// Maximum number of bytes of bodies that the daemon holds; `None` for no bound.
+#[must_use]
+pub fn max_body_bytes(settings: &settings::Settings) -> Option<u64> {
+    let memory_mb = settings.gateway.as_ref()?.memory_mb?;
+    Some((memory_mb * BYTES_PER_MEGABYTE * BODY_MEMORY_SHARE) as u64)
+}
+
 /// Limits of the connection pools to servers. Connections are opened from the address at which the
 /// VM is known, so that servers and firewalls see the same address as callers.
 #[must_use]
--- a/crates/proxy/src/account.rs
+++ b/crates/proxy/src/account.rs
@@ -12,7 +12,7 @@
 use monsooncart_policy::{handle, outcome};
 use monsooncart_types::id;
 
-use crate::{claim, clock, common, interface, payload, permit, trace};
+use crate::{claim, clock, common, interface, memory, payload, permit, trace};
 
 pub struct Account {
     common: Arc<common::Common>,
@@ -22,6 +22,8 @@
     claim: Option<claim::Claim>,
     permit: Option<permit::Permit>,
     request_body: Option<payload::Source>,
+    /// Bytes of bodies that the request holds.
+    held: Vec<memory::Reservation>,
     possibly_sent: Arc<AtomicBool>,
     /// Request id set by the caller, and version of the routing configuration that was used.
     caller_request_id: Option<(HeaderValue, u64)>,
@@ -56,6 +58,7 @@
             claim: None,
             permit: None,
             request_body: None,
+            held: Vec::new(),
             possibly_sent: Arc::default(),
             caller_request_id: None,
         }
@@ -76,6 +79,11 @@
         self.permit = Some(permit);
     }
 
+    /// Holds bytes of a body until the request ends.
+    pub fn hold(&mut self, reservation: memory::Reservation) {
+        self.held.push(reservation);
+    }
+
     /// Sets the request body, whose received bytes are recorded.
     pub fn set_request_body(&mut self, request_body: payload::Source) {
         self.request_body = Some(request_body);
--- a/crates/proxy/src/common.rs
+++ b/crates/proxy/src/common.rs
@@ -13,8 +13,8 @@
 
 use crate::lock::lock;
 use crate::{
-    clock, decision, host_routing, interface, log_limiter, metrics, pool, relay, response_sizes,
-    trace,
+    clock, decision, host_routing, interface, log_limiter, memory, metrics, pool, relay,
+    response_sizes, trace,
 };
 
 /// State shared by all parts of the request path.
@@ -34,6 +34,8 @@
     /// Organisation of all callers if they have no keys.
     pub default_organisation: id::Organisation,
     pub response_sizes: response_sizes::ResponseSizes,
+    /// Bodies that the daemon holds.
+    pub bodies: Arc<memory::Bound>,
     /// Limits the log lines for answered requests.
     pub log_limiter: log_limiter::LogLimiter,
     /// Clock of the policies.
@@ -70,6 +72,8 @@
     pub policies: Arc<dyn interface::Policies>,
     /// Header names if requests are routed by host and path.
     pub host_headers: Option<host_routing::HeaderNames>,
+    /// Maximum number of bytes of bodies that the daemon holds.
+    pub max_body_bytes: u64,
     pub metrics: metrics::Metrics,
 }
 
@@ -102,6 +106,7 @@
                 .expect("constant is a valid name"),
             metrics: parts.metrics,
             response_sizes: response_sizes::ResponseSizes::default(),
+            bodies: memory::Bound::new(parts.max_body_bytes),
             log_limiter: log_limiter::LogLimiter::default(),
             clock: clock::Clock::new(),
             decisions: decision::Ring::default(),
--- a/crates/proxy/src/config.rs
+++ b/crates/proxy/src/config.rs
@@ -43,6 +43,7 @@
     policies: Option<Arc<dyn interface::Policies>>,
     registry: Option<prometheus::Registry>,
     host_headers: Option<host_routing::HeaderNames>,
+    max_body_bytes: u64,
 }
 
 impl Config {
@@ -61,6 +62,7 @@
             policies: None,
             registry: None,
             host_headers: None,
+            max_body_bytes: u64::MAX,
         }
     }
 
@@ -120,6 +122,13 @@
         self
     }
 
+    /// Sets the maximum number of bytes of bodies that the daemon holds.
+    #[must_use]
+    pub fn max_body_bytes(mut self, bytes: Option<u64>) -> Self {
+        self.max_body_bytes = bytes.unwrap_or(u64::MAX);
+        self
+    }
+
     /// Sets the registry for metrics.
     #[must_use]
     pub fn registry(mut self, registry: &prometheus::Registry) -> Self {
@@ -151,6 +160,7 @@
             meter: self.meter.ok_or_else(|| missing("meter"))?,
             policies: self.policies.ok_or_else(|| missing("policies"))?,
             host_headers: self.host_headers,
+            max_body_bytes: self.max_body_bytes,
             metrics,
         });
         Ok(engine::Engine::new(common, self.tick_interval))
--- a/crates/proxy/src/engine.rs
+++ b/crates/proxy/src/engine.rs
@@ -355,6 +355,12 @@
         self.shared.common.abandoned.cancel();
     }
 
+    /// Returns the number of bytes of bodies that the daemon holds.
+    #[must_use]
+    pub fn held_body_bytes(&self) -> u64 {
+        self.shared.common.bodies.held_bytes()
+    }
+
     /// Returns the number of requests in flight.
     #[must_use]
     pub fn in_flight(&self) -> usize {
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -40,6 +40,7 @@
 mod local_reply;
 mod lock;
 mod log_limiter;
+mod memory;
 mod metrics;
 mod pass;
 mod payload;
--- /dev/null
+++ b/crates/proxy/src/memory.rs
@@ -0,0 +1,100 @@
+//! Bound on the bytes of bodies that the daemon holds for callers and servers that are slow.
+//!
+//! A body is reserved when it is accepted. When the bound is reached, requests with a new body are
+//! refused as not run; those with a small one, or none, still pass. Responses are always accepted, as
+//! their requests have run, and count towards the bound until their callers have read them.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use http::StatusCode;
+
+use crate::problem;
+
+/// Bodies up to this size are accepted beyond the bound.
+pub const SMALL_BYTES: u64 = 4 << 10;
+
+/// Bytes that are held of a streamed body at a time.
+pub const STREAM_BYTES: u64 = 128 << 10;
+
+/// Retry delay of a request that was refused for lack of memory.
+const RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// The bound, and the bytes held at present.
+#[derive(Debug)]
+pub struct Bound {
+    max_bytes: u64,
+    held_bytes: AtomicU64,
+}
+
+/// Bytes that count towards a bound until they are dropped.
+#[derive(Debug)]
+pub struct Reservation {
+    bound: Arc<Bound>,
+    bytes: u64,
+}
+
+impl Bound {
+    /// Creates a bound of `max_bytes`.
+    pub fn new(max_bytes: u64) -> Arc<Self> {
+        Arc::new(Self {
+            max_bytes,
+            held_bytes: AtomicU64::new(0),
+        })
+    }
+
+    /// Bytes held at present.
+    pub fn held_bytes(&self) -> u64 {
+        self.held_bytes.load(Ordering::Relaxed)
+    }
+
+    /// Reserves bytes of a request's body.
+    ///
+    /// # Errors
+    ///
+    /// The response to the request if the bound does not permit it.
+    pub fn reserve(self: &Arc<Self>, bytes: u64) -> Result<Reservation, problem::Problem> {
+        let reservation = self.hold(bytes);
+        if bytes > SMALL_BYTES && self.held_bytes() > self.max_bytes {
+            let detail = format!(
+                "daemon holds its maximum of {} bytes of bodies",
+                self.max_bytes
+            );
+            let status = StatusCode::SERVICE_UNAVAILABLE;
+            let problem = problem::Problem::not_run(status, "memory-used", detail);
+            return Err(problem.retry_after(RETRY_AFTER));
+        }
+        Ok(reservation)
+    }
+
+    /// Counts bytes that cannot be refused.
+    pub fn hold(self: &Arc<Self>, bytes: u64) -> Reservation {
+        self.held_bytes.fetch_add(bytes, Ordering::Relaxed);
+        Reservation {
+            bound: self.clone(),
+            bytes,
+        }
+    }
+}
+
+impl Reservation {
+    /// Reserves bytes in addition.
+    ///
+    /// # Errors
+    ///
+    /// As [`Bound::reserve`].
+    pub fn extend(&mut self, bytes: u64) -> Result<(), problem::Problem> {
+        let mut added = self.bound.reserve(bytes)?;
+        self.bytes += std::mem::take(&mut added.bytes);
+        Ok(())
+    }
+}
+
+impl Drop for Reservation {
+    fn drop(&mut self) {
+        self.bound
+            .held_bytes
+            .fetch_sub(self.bytes, Ordering::Relaxed);
+    }
+}
--- a/crates/proxy/src/pass.rs
+++ b/crates/proxy/src/pass.rs
@@ -282,6 +282,8 @@
             target,
         } = forwardable;
         let status = reply.head.status;
+        let held_bytes = reply.prefix.iter().map(|bytes| bytes.len() as u64).sum();
+        self.account.hold(self.common.bodies.hold(held_bytes));
         if reply.is_fully_buffered()
             && let Some(attempt) = attempt.take()
         {
--- a/crates/proxy/src/request.rs
+++ b/crates/proxy/src/request.rs
@@ -178,17 +178,21 @@
         }
         let stall_timeout = shared.common.limits().body_timeout.0;
         let limit = options.body_limit;
-        let request_body =
-            match inbound_body::read(incoming, limit, options.deadline, stall_timeout).await {
-                Ok(request_body) => request_body,
-                Err(mut problem) => {
-                    if ticket.is_some() {
-                        // An earlier attempt with this ticket may have run.
-                        problem.execution = outcome::Execution::Unknown;
-                    }
-                    return Ok(self.reject(account, &problem));
+        let bodies = &shared.common.bodies;
+        let received = inbound_body::read(bodies, incoming, limit, options.deadline, stall_timeout);
+        let request_body = match received.await {
+            Ok((request_body, reservation)) => {
+                account.hold(reservation);
+                request_body
+            }
+            Err(mut problem) => {
+                if ticket.is_some() {
+                    // An earlier attempt with this ticket may have run.
+                    problem.execution = outcome::Execution::Unknown;
                 }
-            };
+                return Ok(self.reject(account, &problem));
+            }
+        };
         account.set_request_body(request_body.clone());
         if let Some(ticket) = ticket {
             let claims = shared.common.claims.clone();
--- a/crates/proxy/src/request/inbound_body.rs
+++ b/crates/proxy/src/request/inbound_body.rs
@@ -11,7 +11,7 @@
 use monsooncart_types::size;
 use tokio::time::{Instant, timeout_at};
 
-use crate::{payload, problem};
+use crate::{memory, payload, problem};
 
 /// Maximum request body that is buffered for retries.
 const MAX_BUFFERED_BYTES: u64 = 64 << 10;
@@ -20,21 +20,23 @@
 ///
 /// # Errors
 ///
-/// The response if the body is too large, truncated or stalled.
+/// The response if the body is too large, truncated or stalled, or the daemon holds too many.
 pub async fn read(
+    bound: &Arc<memory::Bound>,
     mut incoming: Incoming,
     limit: Option<size::Size>,
     deadline: Instant,
     stall_timeout: Duration,
-) -> Result<payload::Source, problem::Problem> {
+) -> Result<(payload::Source, memory::Reservation), problem::Problem> {
     let limit_bytes = limit.map_or(u64::MAX, |limit| limit.0);
     let size = incoming.size_hint().exact();
     if size.is_some_and(|size| size > limit_bytes) {
         return Err(problem::Problem::too_large(limit_bytes));
     }
+    let mut reservation = bound.reserve(size.unwrap_or(0).min(memory::STREAM_BYTES))?;
     if size.is_some_and(|size| size > MAX_BUFFERED_BYTES) {
         let stream = payload::Stream::new(Bytes::new(), incoming, limit_bytes, stall_timeout);
-        return Ok(payload::Source::Streamed(Arc::new(stream)));
+        return Ok((payload::Source::Streamed(Arc::new(stream)), reservation));
     }
     let mut buffered = BytesMut::new();
     while buffered.len() as u64 <= MAX_BUFFERED_BYTES {
@@ -45,8 +47,14 @@
             problem::Problem::not_run(status, "body-stalled", "request body did not come")
         })?;
         match frame {
-            None => return Ok(payload::Source::Buffered(buffered.freeze())),
-            Some(Ok(frame)) => buffered.extend_from_slice(frame.data_ref().map_or(&[], |d| d)),
+            None => return Ok((payload::Source::Buffered(buffered.freeze()), reservation)),
+            Some(Ok(frame)) => {
+                let data: &[u8] = frame.data_ref().map_or(&[], |d| d);
+                if size.is_none() {
+                    reservation.extend(data.len() as u64)?;
+                }
+                buffered.extend_from_slice(data);
+            }
             Some(Err(_)) => return Err(problem::Problem::malformed("request body was cut short")),
         }
         if buffered.len() as u64 > limit_bytes {
@@ -54,5 +62,5 @@
         }
     }
     let stream = payload::Stream::new(buffered.freeze(), incoming, limit_bytes, stall_timeout);
-    Ok(payload::Source::Streamed(Arc::new(stream)))
+    Ok((payload::Source::Streamed(Arc::new(stream)), reservation))
 }
--- a/crates/proxy/tests/all/fixture.rs
+++ b/crates/proxy/tests/all/fixture.rs
@@ -251,6 +251,20 @@
     start_host_engine(addresses, timeout, policies, access).await
 }
 
+/// As [`start_host_proxy`], for a daemon that holds at most this many bytes of bodies.
+pub async fn start_bounded_host_proxy(
+    addresses: &[net::SocketAddr],
+    timeout: Duration,
+    max_body_bytes: u64,
+) -> Proxy {
+    let config = config::Config::new("entry-1".parse().unwrap(), "attica-a".parse().unwrap());
+    let config = config.host_routing(Some(header_names()));
+    let config = config.policies(Arc::new(fakes::Selector));
+    let config = config.max_body_bytes(Some(max_body_bytes));
+    let snapshot = host_snapshot(addresses, timeout, access::Access::Open);
+    start_engine(bind_listener().await, config, snapshot)
+}
+
 async fn start_host_engine(
     addresses: &[net::SocketAddr],
     timeout: Duration,
--- a/crates/proxy/tests/all/main.rs
+++ b/crates/proxy/tests/all/main.rs
@@ -20,6 +20,7 @@
 
 mod leaving;
 mod limits;
+mod memory_bound;
 mod not_run;
 mod policy_actions;
 mod rate_limits;
--- /dev/null
+++ b/crates/proxy/tests/all/memory_bound.rs
@@ -0,0 +1,62 @@
+//! The bound on the bodies that a daemon holds for slow callers and servers.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::StatusCode;
+use http_body_util::Full;
+
+use crate::fixture;
+use crate::scripted::{ScriptedServer, Step, host_response};
+
+const TIMEOUT: Duration = Duration::from_secs(30);
+
+/// Size of a body that counts towards the bound.
+const BODY_BYTES: usize = 40_000;
+
+/// Bound that two such bodies reach.
+const MAX_BODY_BYTES: u64 = 60_000;
+
+fn upload(bytes: usize) -> http::Request<Full<Bytes>> {
+    let mut request = fixture::host_request("POST", "/orders/1");
+    *request.body_mut() = Full::new(Bytes::from(vec![7; bytes]));
+    request
+}
+
+/// Guards against slow servers whose uploads fill the memory of a daemon, and against a daemon that
+/// then refuses what needs no memory.
+#[tokio::test]
+async fn uploads_beyond_the_bound_are_refused_as_not_run_and_small_requests_pass() {
+    let script = vec![Step::ReadHead, Step::Read(BODY_BYTES), Step::Wait];
+    let slow = ScriptedServer::start(script).await;
+    let proxy = fixture::start_bounded_host_proxy(&[slow.address], TIMEOUT, MAX_BODY_BYTES).await;
+    let address = proxy.address;
+    let held = tokio::spawn(fixture::try_send(address, upload(BODY_BYTES)));
+    fixture::wait_until("the server has the body", || {
+        slow.received_bytes() > BODY_BYTES as u64
+    })
+    .await;
+
+    let refused = fixture::send(address, upload(BODY_BYTES)).await;
+    let small = tokio::spawn(fixture::try_send(address, upload(100)));
+
+    assert_eq!(refused.status, StatusCode::SERVICE_UNAVAILABLE);
+    assert_eq!(refused.header("monsooncart-outcome"), "not-run");
+    assert_eq!(refused.header("retry-after"), "1");
+    fixture::wait_until("the small request reaches a server", || slow.heads() == 2).await;
+    held.abort();
+    small.abort();
+    fixture::wait_until("completion", || proxy.engine.in_flight() == 0).await;
+    assert_eq!(proxy.engine.held_body_bytes(), 0);
+}
+
+/// Guards against responses that are refused although their requests have run.
+#[tokio::test]
+async fn responses_are_delivered_beyond_the_bound() {
+    let server = ScriptedServer::start(host_response("200 OK", "")).await;
+    let proxy = fixture::start_bounded_host_proxy(&[server.address], TIMEOUT, 0).await;
+
+    let response = fixture::send(proxy.address, upload(100)).await;
+
+    assert_eq!(response.status, StatusCode::OK);
+}
