Borrow from two daemons of the own data centre before all others

Change: two daemons are asked for 0.8 s of demand, after 60 ms the others; a weight rises by two levels at least.

--- a/crates/daemon/src/gateway/allowances.rs
+++ b/crates/daemon/src/gateway/allowances.rs
@@ -9,6 +9,7 @@
 
 use monsooncart_config::routing::access;
 use monsooncart_config::settings;
+use monsooncart_policy::membership::member;
 use monsooncart_policy::{allowance, rank};
 use monsooncart_types::{id, instance, time};
 use monsooncart_wire::update;
@@ -61,8 +62,18 @@
     }
 
     /// Applies the daemons of the entry sets.
-    pub fn set_holders(&self, now: time::Time, holders: &[instance::Instance]) {
-        self.lock().set_holders(now, holders);
+    pub fn set_holders(
+        &self,
+        now: time::Time,
+        data_centre: &id::DataCentre,
+        members: &[member::Member],
+    ) {
+        let holder = |member: &member::Member| allowance::Holder {
+            daemon: member.instance,
+            is_local: member.data_centre == *data_centre,
+        };
+        let holders: Vec<_> = members.iter().map(holder).collect();
+        self.lock().set_holders(now, &holders);
         self.wake.notify_one();
     }
 
--- a/crates/daemon/src/updates.rs
+++ b/crates/daemon/src/updates.rs
@@ -32,7 +32,8 @@
                 let lost = core.gateway_paths.as_ref().map(paths::Paths::lost_daemons);
                 let has_changed = entries.update(&members, &lost.unwrap_or_default());
                 if let Some(allowances) = core.gateway_allowances.as_ref().filter(|_| has_changed) {
-                    allowances.set_holders(core.now(), &entries.instances());
+                    let data_centre = &core.settings.data_centre;
+                    allowances.set_holders(core.now(), data_centre, &entries.all());
                 }
                 services.filter(|_| has_changed).collect()
             }
--- a/crates/policy/src/allowance.rs
+++ b/crates/policy/src/allowance.rs
@@ -22,7 +22,7 @@
 
 use std::time::Duration;
 
-pub use ledger::Ledger;
+pub use ledger::{Holder, Ledger};
 
 /// Weight that the [`BASE_HOLDERS`] have together without demand, as a share of the rate.
 const BASE_SHARE: f64 = 0.15;
@@ -38,6 +38,9 @@
 /// token even if their part of the burst is less.
 const BASE_HOLDERS: usize = 8;
 
+/// Number of daemons that are asked for a loan first, before all others are.
+const FIRST_LENDERS: usize = 2;
+
 /// Number of daemons that are asked for a loan.
 const MAX_LENDERS: usize = 12;
 
--- a/crates/policy/src/allowance/account.rs
+++ b/crates/policy/src/allowance/account.rs
@@ -6,7 +6,8 @@
 
 use super::{Decision, Limit, MAX_RETRY_DELAY, MAX_WAIT, demand, weight};
 
-/// Levels by which the demand must fall before the weight is lowered.
+/// Levels by which the demand must rise, and fall, before the weight follows.
+const RAISING_LEVELS: u8 = 2;
 const LOWERING_LEVELS: u8 = 2;
 
 /// Time for which a request may wait for the first part of its organisation at this daemon.
@@ -15,8 +16,10 @@
 /// Wait up to which a request waits for its token rather than for a loan.
 const SHORT_WAIT: Duration = Duration::from_millis(30);
 
-/// Time within which the lenders answer.
-const LOAN_TIME: Duration = Duration::from_millis(120);
+/// Time within which the first lenders answer, after which all are asked, and time within which those
+/// answer.
+const FIRST_LOAN_TIME: Duration = Duration::from_millis(60);
+const LOAN_TIME: Duration = Duration::from_millis(160);
 
 /// Time for which nobody is asked after nobody had anything to lend. It doubles each time.
 const LOAN_PAUSE: Duration = Duration::from_millis(500);
@@ -28,10 +31,10 @@
 const LOAN_LIFETIME: Duration = Duration::from_secs(2);
 
 /// Time for whose demand tokens are borrowed.
-const LOAN_DEMAND: Duration = Duration::from_millis(300);
+const LOAN_DEMAND: Duration = Duration::from_millis(800);
 
 /// Bounds of the tokens that are asked for at a time.
-const LOAN_TOKENS: [f64; 2] = [1.0, 20.0];
+const LOAN_TOKENS: [f64; 2] = [2.0, 20.0];
 
 /// Share of its surplus that a lender gives.
 const LENT_SHARE: f64 = 0.5;
@@ -49,6 +52,8 @@
     expires_at: time::Time,
     /// When the lenders were asked last.
     asked_at: Option<time::Time>,
+    /// Whether all lenders were asked.
+    asked_all: bool,
     /// Whether a lender has granted tokens since.
     is_granted: bool,
     /// Until when nobody is asked.
@@ -75,8 +80,8 @@
     /// Tokens; negative if requests wait for theirs.
     tokens: f64,
     borrowed: Borrowed,
-    /// Tokens to ask the lenders for.
-    wanted: Option<f64>,
+    /// Tokens to ask for, and whether all lenders are to be asked.
+    wanted: Option<(f64, bool)>,
     settled_at: time::Time,
     created_at: time::Time,
     /// When the turn of the last refused request comes.
@@ -212,7 +217,14 @@
             return false;
         }
         match self.borrowed.asked_at {
-            Some(asked_at) if now.since(asked_at) < LOAN_TIME => return true,
+            Some(asked_at) if !self.borrowed.is_granted && now.since(asked_at) < LOAN_TIME => {
+                if !self.borrowed.asked_all && now.since(asked_at) >= FIRST_LOAN_TIME {
+                    self.borrowed.asked_all = true;
+                    self.want(now, true);
+                }
+                return true;
+            }
+            Some(asked_at) if now.since(asked_at) < FIRST_LOAN_TIME => return true,
             Some(_) if !self.borrowed.is_granted => {
                 self.borrowed.asked_at = None;
                 let doublings = self.borrowed.failures.min(MAX_LOAN_DOUBLINGS);
@@ -222,16 +234,21 @@
             }
             _ => {}
         }
-        let [min, max] = LOAN_TOKENS;
-        let demand = self.demand.rate(now) * LOAN_DEMAND.as_secs_f64();
-        self.wanted = Some(demand.clamp(min, max));
+        self.want(now, false);
         self.borrowed.asked_at = Some(now);
+        self.borrowed.asked_all = false;
         self.borrowed.is_granted = false;
         true
     }
 
-    /// Takes the number of tokens to ask the lenders for.
-    pub fn take_wanted(&mut self) -> Option<f64> {
+    fn want(&mut self, now: time::Time, all: bool) {
+        let [min, max] = LOAN_TOKENS;
+        let demand = self.demand.rate(now) * LOAN_DEMAND.as_secs_f64();
+        self.wanted = Some((demand.clamp(min, max), all));
+    }
+
+    /// Takes the number of tokens to ask for, and whether all lenders are to be asked.
+    pub fn take_wanted(&mut self) -> Option<(f64, bool)> {
         self.wanted.take()
     }
 
@@ -276,7 +293,9 @@
             self.effective = self.effective.min(wanted);
             return true;
         }
-        if wanted > self.announced && self.announced == self.effective {
+        let is_higher = wanted.levels_above(self.announced) >= RAISING_LEVELS
+            || (self.announced == weight::Weight::NONE && wanted > self.announced);
+        if is_higher && self.announced == self.effective {
             self.announced = wanted;
             return true;
         }
--- a/crates/policy/src/allowance/ledger.rs
+++ b/crates/policy/src/allowance/ledger.rs
@@ -5,7 +5,7 @@
 use monsooncart_types::{instance, map, time};
 
 use super::{
-    BASE_HOLDERS, BASE_RATE, BASE_SHARE, Decision, Limit, MAX_LENDERS, Organisation,
+    BASE_HOLDERS, BASE_RATE, BASE_SHARE, Decision, FIRST_LENDERS, Limit, MAX_LENDERS, Organisation,
     REPORT_INTERVAL_PER_RECEIVER, SILENCE_RETENTION, SYNC_TIMEOUT, Tolerance, account, loan, peer,
     report,
 };
@@ -51,6 +51,15 @@
     }
 }
 
+/// A daemon of the entry sets.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Holder {
+    /// The daemon.
+    pub daemon: instance::Instance,
+    /// Whether it is in the same data centre; messages to others are dear.
+    pub is_local: bool,
+}
+
 /// The daemon's accounts, and the weights of the other daemons.
 #[derive(Clone, Debug)]
 pub struct Ledger {
@@ -70,6 +79,8 @@
     /// Messages about loans that are to be sent.
     loans: Vec<(instance::Instance, loan::Loan)>,
     grants: u64,
+    /// Number of asks, which varies the order of the lenders.
+    asks: u64,
     /// Number of the last grant of each daemon, and those received out of order.
     received_grants: map::Map<instance::Instance, Received>,
     /// Changes with every weight that parts are computed from.
@@ -93,23 +104,25 @@
             changes: 0,
             loans: Vec::new(),
             grants: 0,
+            asks: 0,
             received_grants: map::Map::default(),
             generation: 1,
         }
     }
 
     /// Applies the daemons of the entry sets, this one included if it is among them.
-    pub fn set_holders(&mut self, now: time::Time, holders: &[instance::Instance]) {
-        self.is_holder = holders.contains(&self.own);
+    pub fn set_holders(&mut self, now: time::Time, holders: &[Holder]) {
+        self.is_holder = holders.iter().any(|holder| holder.daemon == self.own);
         for peer in self.peers.values_mut() {
             peer.is_holder = false;
         }
-        let others = holders.iter().filter(|holder| **holder != self.own);
-        for holder in others.filter(|holder| !self.superseded.contains(*holder)) {
+        let others = holders.iter().filter(|holder| holder.daemon != self.own);
+        for holder in others.filter(|holder| !self.superseded.contains(&holder.daemon)) {
             let is_established = !self.is_synced;
-            let peer = self.peers.entry(*holder);
+            let peer = self.peers.entry(holder.daemon);
             let peer = peer.or_insert_with(|| peer::Peer::new(now, is_established));
             peer.is_holder = true;
+            peer.is_local = holder.is_local;
         }
         self.peers
             .retain(|_, peer| peer.is_required() || peer.vm.is_some());
@@ -132,7 +145,12 @@
             return Decision::Undecided;
         };
         let decision = account.decide(now, is_first, !lenders.is_empty());
-        if let Some(tokens) = account.take_wanted() {
+        if let Some((tokens, all)) = account.take_wanted() {
+            let lenders = match all {
+                true => &lenders[FIRST_LENDERS.min(lenders.len())..],
+                false => &lenders[..FIRST_LENDERS.min(lenders.len())],
+            };
+            self.asks += 1;
             let ask = loan::Loan::Ask {
                 from: self.own,
                 organisation,
@@ -140,7 +158,7 @@
                 tokens,
             };
             self.loans
-                .extend(lenders.into_iter().map(|lender| (lender, ask)));
+                .extend(lenders.iter().map(|lender| (*lender, ask)));
         }
         decision
     }
@@ -154,6 +172,12 @@
         let claimants = claimants.map(|(daemon, _)| *daemon);
         let claimants: Vec<_> = claimants.filter(|d| !lenders.contains(d)).collect();
         lenders.extend(claimants);
+        // Those of the own data centre first, and not always the same ones.
+        let order = |lender: &instance::Instance| {
+            let is_local = self.peers.get(lender).is_some_and(|peer| peer.is_local);
+            (!is_local, rank::mix(lender.0 ^ self.asks))
+        };
+        lenders.sort_unstable_by_key(order);
         lenders.truncate(MAX_LENDERS);
         lenders
     }
--- a/crates/policy/src/allowance/peer.rs
+++ b/crates/policy/src/allowance/peer.rs
@@ -13,6 +13,8 @@
     pub vm: Option<u64>,
     /// Whether it is in an entry set.
     pub is_holder: bool,
+    /// Whether it is in the same data centre.
+    pub is_local: bool,
     /// Its weights.
     pub claims: map::Map<Organisation, weight::Weight>,
     /// Number of the last of its changes that is applied.
@@ -42,6 +44,7 @@
         Self {
             vm: None,
             is_holder: false,
+            is_local: false,
             claims: map::Map::default(),
             applied: 0,
             echoed: 0,
--- a/crates/policy/tests/allowance/decisions.rs
+++ b/crates/policy/tests/allowance/decisions.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use monsooncart_policy::allowance::{Decision, Ledger, Limit, Organisation, Tolerance};
+use monsooncart_policy::allowance::{Decision, Holder, Ledger, Limit, Organisation, Tolerance};
 use monsooncart_types::{instance, time};
 
 const OWN: instance::Instance = instance::Instance(1);
@@ -18,12 +18,19 @@
     after: Duration::ZERO,
 };
 
+fn holder(daemon: instance::Instance) -> Holder {
+    Holder {
+        daemon,
+        is_local: true,
+    }
+}
+
 /// The ledger of the only daemon, which has run for 10 s.
 fn ledger() -> (Ledger, time::Time) {
     let started_at = time::Time::from_millis(50_000);
     let now = time::Time::from_millis(60_000);
     let mut ledger = Ledger::new(started_at, OWN, 1, Tolerance::default());
-    ledger.set_holders(started_at, &[OWN]);
+    ledger.set_holders(started_at, &[holder(OWN)]);
     (ledger, now)
 }
 
@@ -106,7 +113,7 @@
 #[test]
 fn a_daemon_outside_the_entry_sets_admits_nothing_until_its_weight_is_echoed() {
     let (mut ledger, now) = ledger();
-    ledger.set_holders(now, &[instance::Instance(2)]);
+    ledger.set_holders(now, &[holder(instance::Instance(2))]);
 
     assert_eq!(decide(&mut ledger, now), Decision::Undecided);
 }
--- a/crates/policy/tests/allowance/fleet.rs
+++ b/crates/policy/tests/allowance/fleet.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use monsooncart_policy::allowance::{
-    Decision, Ledger, Limit, Organisation, Tolerance, loan, report,
+    Decision, Holder, Ledger, Limit, Organisation, Tolerance, loan, report,
 };
 use monsooncart_types::{instance, time};
 use rand::rngs::SmallRng;
@@ -134,7 +134,11 @@
     /// Tells all running daemons which ones are in the entry sets.
     pub fn announce_holders(&mut self) {
         let running = self.daemons.iter().filter(|daemon| daemon.is_running);
-        let holders: Vec<_> = running.map(|daemon| daemon.instance).collect();
+        let holder = |daemon: &Daemon| Holder {
+            daemon: daemon.instance,
+            is_local: false,
+        };
+        let holders: Vec<_> = running.map(holder).collect();
         for daemon in self.daemons.iter_mut().filter(|daemon| daemon.is_running) {
             daemon.ledger.set_holders(self.now, &holders);
         }
