Explain where a request would go now, without sending it

Operators asked for a command that tells where a request would go and why. explain route asks each daemon: the route, the organisation with this daemon's share of its allowance, and for each service whether the request would be sent, relayed, wait or be refused, with the servers by cost and why others are left out. The policy answers from the state that its decisions use; nothing is sent.

--- a/crates/daemon/src/admin.rs
+++ b/crates/daemon/src/admin.rs
@@ -75,6 +75,7 @@
         "/v1/usage" => json(&usage(engine)),
         "/v1/burn" => json(&burn(engine)),
         "/v1/explain/request" => explain_request(engine, &query),
+        "/v1/explain/route" => explain_route(engine, &query),
         "/v1/explain/server" => explain_server(engine, &query).await,
         _ => text(http::StatusCode::NOT_FOUND, "no such page\n"),
     }
@@ -220,6 +221,19 @@
     }
 }
 
+fn explain_route(engine: &engine::Engine, query: &Query<'_>) -> Response {
+    let (Some(host), Some(path)) = (query.get::<String>("host"), query.get::<String>("path"))
+    else {
+        return text(http::StatusCode::BAD_REQUEST, "host or path is missing\n");
+    };
+    let organisation = query.get::<id::Organisation>("organisation");
+    let proxy = engine.core().proxy();
+    match proxy.and_then(|p| p.explain_route(&host, &path, organisation.as_ref())) {
+        Some(route) => json(&route),
+        None => text(http::StatusCode::NOT_FOUND, "no route matches\n"),
+    }
+}
+
 /// Response body of `/v1/explain/server`.
 #[derive(serde::Serialize)]
 struct ServerExplanation {
--- a/crates/daemon/src/fleet.rs
+++ b/crates/daemon/src/fleet.rs
@@ -232,6 +232,11 @@
         }
     }
 
+    fn allowance_share(&self, organisation: &id::Organisation) -> Option<f64> {
+        let allowances = self.core.gateway_allowances.as_ref()?;
+        allowances.part(organisation)
+    }
+
     fn refund(&self, organisation: &id::Organisation) {
         if let Some(allowances) = &self.core.gateway_allowances {
             allowances.refund(self.core.now(), organisation);
--- a/crates/policy/src/selector.rs
+++ b/crates/policy/src/selector.rs
@@ -19,6 +19,7 @@
 mod cost;
 mod coverage;
 mod evidence;
+mod explain;
 mod in_flight;
 mod path_loss;
 pub mod rate_limit;
@@ -71,6 +72,22 @@
     may_have_run: bool,
 }
 
+impl Pending {
+    /// A request that has just arrived.
+    fn new(now: time::Time, arrival: event::Arrival) -> Self {
+        Self {
+            arrival,
+            arrived_at: now,
+            attempts: Vec::new(),
+            tried_servers: Vec::new(),
+            unreachable_servers: Vec::new(),
+            tried_relays: Vec::new(),
+            relayed_attempts: 0,
+            may_have_run: false,
+        }
+    }
+}
+
 /// The result of an attempt.
 #[derive(Clone, Copy, Debug)]
 struct Completion {
@@ -130,6 +147,10 @@
         servers.filter_map(server::Server::take_digest).collect()
     }
 
+    fn explain(&self, now: time::Time, arrival: event::Arrival) -> Option<service::Explanation> {
+        Some(self.explain_arrival(now, arrival))
+    }
+
     fn view(&self, now: time::Time) -> Vec<service::View> {
         self.servers.iter().map(|s| s.view(now)).collect()
     }
@@ -276,16 +297,7 @@
             actions.push(action::Action::Refuse { request, refusal });
             return;
         }
-        let pending = Pending {
-            arrival,
-            arrived_at: now,
-            attempts: Vec::new(),
-            tried_servers: Vec::new(),
-            unreachable_servers: Vec::new(),
-            tried_relays: Vec::new(),
-            relayed_attempts: 0,
-            may_have_run: false,
-        };
+        let pending = Pending::new(now, arrival);
         // Those that wait go before it, unless it costs more to let it wait.
         let target = match self.queue.is_empty() {
             true => self.select_target(now, &pending),
--- a/crates/policy/src/selector/choice.rs
+++ b/crates/policy/src/selector/choice.rs
@@ -115,13 +115,7 @@
         let crashed = arrival
             .fingerprint
             .and_then(|f| self.poison.crashed_server(f));
-        let profile = server::RequestProfile {
-            max_queued_ratio: self.max_queued_ratio(arrival),
-            expected_response_bytes: arrival.expected_response_bytes,
-            queue_wait_cost: self
-                .typical_latency()
-                .div_duration_f64(self.latency_objective(arrival)),
-        };
+        let profile = self.request_profile(arrival);
         let servers = self.servers.iter().enumerate();
         let eligible = servers.filter(|(_, server)| {
             let handle = server.spec.handle;
@@ -135,6 +129,17 @@
         costs.collect()
     }
 
+    /// Properties of a request that affect the cost of its attempts.
+    pub(super) fn request_profile(&self, arrival: &event::Arrival) -> server::RequestProfile {
+        server::RequestProfile {
+            max_queued_ratio: self.max_queued_ratio(arrival),
+            expected_response_bytes: arrival.expected_response_bytes,
+            queue_wait_cost: self
+                .typical_latency()
+                .div_duration_f64(self.latency_objective(arrival)),
+        }
+    }
+
     /// Maximum number of attempts queued at a server beyond its slots, as a multiple of the slots:
     /// with more of them the response would be late, without any more requests being served.
     fn max_queued_ratio(&self, arrival: &event::Arrival) -> f64 {
--- a/crates/policy/src/selector/server.rs
+++ b/crates/policy/src/selector/server.rs
@@ -280,6 +280,18 @@
         })
     }
 
+    /// Why no attempt may be sent, for operators.
+    pub fn exclusion(&self, now: time::Time) -> &'static str {
+        match () {
+            () if self.spec.leaving || self.announced_leaving => "leaving",
+            () if self.is_unavailable() => "removed or replaced",
+            () if now < self.retry_at => "asked for a delay",
+            () if self.is_waiting(now) => "backoff after a refusal or a failed connection",
+            () if self.is_rate_limited() => "its rate limit is used up",
+            () => "full",
+        }
+    }
+
     /// Records that an attempt was sent.
     pub fn record_sent(&mut self, now: time::Time) {
         self.in_flight += 1;
--- a/crates/policy/src/service.rs
+++ b/crates/policy/src/service.rs
@@ -21,6 +21,57 @@
     pub evidence: String,
 }
 
+/// What would become of a request.
+#[derive(
+    Clone, Copy, Debug, PartialEq, Eq, strum::Display, serde::Serialize, serde::Deserialize,
+)]
+#[strum(serialize_all = "kebab-case")]
+#[serde(rename_all = "kebab-case")]
+pub enum Verdict {
+    /// It would be sent to a server.
+    Send,
+    /// Another daemon would relay it.
+    Relay,
+    /// It would wait for room.
+    Wait,
+    /// It would be refused.
+    Refuse,
+}
+
+/// How a server is weighed for a request.
+#[derive(Clone, Debug, PartialEq, serde::Serialize)]
+pub struct Candidate {
+    /// Handle of the server.
+    pub server: handle::Server,
+    /// Cost of an attempt, in units of one failed request; `None` if none may be sent.
+    pub cost: Option<f64>,
+    /// Probability that an attempt fails, in thousandths.
+    pub risk: u32,
+    /// Known attempts in flight at the server.
+    pub load: u32,
+    /// Number of requests that the server processes concurrently.
+    pub slots: u32,
+    /// Age of the last evidence about the server, in milliseconds.
+    pub evidence_age_millis: u64,
+    /// Why no attempt may be sent.
+    pub excluded: Option<String>,
+}
+
+/// Where a request would go now, and why.
+#[derive(Clone, Debug, PartialEq, serde::Serialize)]
+pub struct Explanation {
+    /// What would become of it.
+    pub verdict: Verdict,
+    /// The reason, for operators.
+    pub reason: String,
+    /// Number of requests that wait for room.
+    pub waiting: usize,
+    /// Expected time until those have left the queue, in milliseconds.
+    pub wait_millis: u64,
+    /// The servers, the one with the lowest cost first.
+    pub candidates: Vec<Candidate>,
+}
+
 /// Routing and health policy of one service.
 ///
 /// Every request that arrives eventually gets either a [`Send`](action::Action::Send) whose attempt
@@ -40,6 +91,11 @@
     /// server that needs a report.
     fn digest(&mut self, now: time::Time) -> Vec<(handle::Server, event::Digest)>;
 
+    /// Explains where a request would go that arrived now; `None` if the policy explains nothing.
+    fn explain(&self, _now: time::Time, _arrival: event::Arrival) -> Option<Explanation> {
+        None
+    }
+
     /// Returns the state of each server.
     fn view(&self, now: time::Time) -> Vec<View>;
 }
--- a/crates/proxy/src/engine.rs
+++ b/crates/proxy/src/engine.rs
@@ -78,6 +78,10 @@
 }
 
 impl Engine {
+    pub(crate) fn shared(&self) -> &Shared {
+        &self.shared
+    }
+
     /// Creates an engine without configuration, whose policies are ticked at the interval
     /// `tick_interval`.
     pub(crate) fn new(common: common::Common, tick_interval: Duration) -> Self {
--- a/crates/proxy/src/interface.rs
+++ b/crates/proxy/src/interface.rs
@@ -106,6 +106,11 @@
         }
     }
 
+    /// This daemon's share of an organisation's allowance; `None` if it is not known.
+    fn allowance_share(&self, _organisation: &id::Organisation) -> Option<f64> {
+        None
+    }
+
     /// Gives back what a request took of its organisation's allowance, as it has not run.
     fn refund(&self, _organisation: &id::Organisation) {}
 }
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -32,6 +32,7 @@
 mod clock;
 mod common;
 mod exchange;
+pub mod explain;
 mod forwarded;
 mod gate;
 mod header;
--- a/crates/proxy/src/service.rs
+++ b/crates/proxy/src/service.rs
@@ -12,7 +12,7 @@
 
 use arc_swap::ArcSwap;
 use monsooncart_config::{rules, service};
-use monsooncart_policy::service::{Policy, View};
+use monsooncart_policy::service::{Explanation, Policy, View};
 use monsooncart_policy::{action, event, handle, health, inventory, outcome};
 use monsooncart_types::{id, instance, map};
 use tokio::sync::mpsc;
@@ -285,6 +285,13 @@
         })
     }
 
+    /// Explains where a request would go that arrived now.
+    pub fn explain(self: &Arc<Self>, arrival: event::Arrival) -> Option<Explanation> {
+        let mut state = lock(&self.state);
+        let state = self.get_or_create_state(&mut state);
+        state.policy.explain(self.common.clock.now(), arrival)
+    }
+
     /// Submits a request to the policy.
     pub fn submit(self: &Arc<Self>, arrival: event::Arrival) -> pending::Request {
         let (sender, commands) = mpsc::unbounded_channel();
--- a/crates/testbed/src/site.rs
+++ b/crates/testbed/src/site.rs
@@ -24,7 +24,7 @@
 pub const CALLERS_PORT: u16 = 7103;
 
 /// Port of the daemons' listener for operators.
-const ADMIN_PORT: u16 = 7104;
+pub const ADMIN_PORT: u16 = 7104;
 
 /// Port of the daemons' listener for other daemons.
 pub const PEERS_PORT: u16 = 7105;
--- a/src/commands/explain.rs
+++ b/src/commands/explain.rs
@@ -10,6 +10,7 @@
 pub mod log;
 pub mod request;
 mod responses;
+pub mod route;
 pub mod server;
 
 /// Arguments of `explain`.
@@ -42,6 +43,8 @@
     /// Shows which servers of a service are ejected, why, and what the floor still allows:
     /// evidence, tokens, and alternatives.
     Ejection(ejection::Arguments),
+    /// Shows where a request to a host and path would go now, and why, without sending it.
+    Route(route::Arguments),
     /// Shows log lines of daemons about a request or a server, in chronological order.
     Log(log::Arguments),
 }
@@ -53,6 +56,7 @@
             Command::Server(arguments) => arguments.run().await,
             Command::Request(arguments) => arguments.run().await,
             Command::Ejection(arguments) => arguments.run().await,
+            Command::Route(arguments) => arguments.run().await,
             Command::Log(arguments) => arguments.run().await,
         }
     }
--- a/src/commands/explain/responses.rs
+++ b/src/commands/explain/responses.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 
 use monsooncart_policy::floor::record;
+use monsooncart_policy::service;
 use monsooncart_types::id;
 
 use crate::output;
@@ -73,6 +74,79 @@
     pub decisions: Vec<Decision>,
 }
 
+/// Where a request would go at a daemon.
+#[derive(Clone, Debug, serde::Serialize, serde::Deserialize)]
+pub struct Route {
+    /// Version of the routing configuration.
+    pub routing: u64,
+    /// Name of the route.
+    pub name: String,
+    /// Path prefix of the route.
+    pub prefix: String,
+    /// Whether its requests may run more than once.
+    pub repeatable: bool,
+    /// Priority under overload.
+    pub priority: u32,
+    /// Organisation of the request.
+    pub organisation: Option<RouteOrganisation>,
+    /// Each service that receives requests of the route.
+    pub services: Vec<RouteService>,
+}
+
+/// Organisation of a request.
+#[derive(Clone, Debug, serde::Serialize, serde::Deserialize)]
+pub struct RouteOrganisation {
+    /// Its name.
+    pub name: id::Organisation,
+    /// The daemon's share of its allowance.
+    pub share: Option<f64>,
+}
+
+/// A service of a route.
+#[derive(Clone, Debug, serde::Serialize, serde::Deserialize)]
+pub struct RouteService {
+    /// Its name.
+    pub service: id::Service,
+    /// Its weight among the services of the route.
+    pub weight: f64,
+    /// What would become of the request.
+    pub explanation: Option<Explanation>,
+    /// Names of the candidates, in their order.
+    pub servers: Vec<Option<id::Server>>,
+}
+
+/// What would become of a request.
+#[derive(Clone, Debug, serde::Serialize, serde::Deserialize)]
+pub struct Explanation {
+    /// What would become of it.
+    pub verdict: service::Verdict,
+    /// The reason.
+    pub reason: String,
+    /// Number of requests that wait for room.
+    pub waiting: usize,
+    /// Expected time until those have left the queue, in milliseconds.
+    pub wait_millis: u64,
+    /// The servers, the one with the lowest cost first.
+    pub candidates: Vec<Candidate>,
+}
+
+/// How a server is weighed for a request.
+#[derive(Clone, Debug, serde::Serialize, serde::Deserialize)]
+pub struct Candidate {
+    /// Cost of an attempt.
+    pub cost: Option<f64>,
+    /// Probability that an attempt fails, in thousandths.
+    pub risk: u32,
+    /// Known attempts in flight at the server.
+    pub load: u32,
+    /// Number of requests that the server processes concurrently.
+    pub slots: u32,
+    /// Age of the last evidence, in milliseconds.
+    pub evidence_age_millis: u64,
+    /// Why no attempt may be sent.
+    pub excluded: Option<String>,
+}
+
 /// Values of daemons, by VM.
 pub type ByVm<T> = BTreeMap<String, T>;
 
--- a/tests/all/gateway/organisations.rs
+++ b/tests/all/gateway/organisations.rs
@@ -6,7 +6,7 @@
 use serde_json::{Value, json};
 
 use crate::fixture::gateway::{self, Daemon, Gateway};
-use crate::fixture::{http, wait};
+use crate::fixture::{http, process, wait};
 
 const KEY: &str = "key-of-paper";
 
@@ -124,3 +124,43 @@
     );
     assert!(admitted > 0);
 }
+
+/// Guards against an explanation that differs from what the daemon would do, or sends the request.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_route_is_explained_without_sending_a_request() {
+    let gateway = Gateway::start(2, 2).await;
+    gateway
+        .registry
+        .put("config", "main", &configuration(9, &[KEY]));
+    wait_for_status(&gateway, "unknown", 401).await;
+    let before = gateway.executions_by(0) + gateway.executions_by(1);
+    let admin = gateway.daemons[0].admin_address().to_string();
+    let route = ["explain", "route", gateway::HOST, "/buy/x"];
+    let options = ["--organisation", "paper", "--json", "--admin", &admin];
+    let arguments: Vec<_> = route.iter().chain(&options).copied().collect();
+
+    let (code, out, error) = process::run_to_exit(&process::monsooncart(), &arguments);
+    let unknown = [
+        "explain",
+        "route",
+        gateway::HOST,
+        "/none/x",
+        "--admin",
+        &admin,
+    ];
+    let (unknown_code, _, unknown_error) = process::run_to_exit(&process::monsooncart(), &unknown);
+
+    assert_eq!(code, Some(0), "{error}");
+    let explained: Value = serde_json::from_str(&out).expect("output is JSON");
+    let daemons = explained.as_object().expect("daemons by name");
+    let (_, first) = daemons.iter().next().expect("a daemon");
+    assert_eq!(first["routing"], 9);
+    assert_eq!(first["repeatable"], false);
+    assert_eq!(first["organisation"]["name"], "paper");
+    let explanation = &first["services"][0]["explanation"];
+    assert_eq!(explanation["verdict"], "send");
+    assert_eq!(explanation["candidates"].as_array().map(Vec::len), Some(2));
+    assert_eq!(unknown_code, Some(1));
+    assert!(unknown_error.contains("/none/x"), "{unknown_error}");
+    assert_eq!(gateway.executions_by(0) + gateway.executions_by(1), before);
+}
