Keep half of the budget of retries for the most urgent requests

Change: with wait_for_room, requests that are less urgent than others of their service leave half of the budget to those.

--- a/crates/policy/src/selector/admission.rs
+++ b/crates/policy/src/selector/admission.rs
@@ -27,6 +27,13 @@
         if waits { MAX_RISK } else { 1.0 }
     }
 
+    /// Whether the budget permits another retry. Where requests wait for room, those that are less urgent
+    /// than others leave a part of the budget to them.
+    pub(super) fn allows_retry(&mut self, now: time::Time, priority: u32) -> bool {
+        let priority = if self.waits { priority } else { 0 };
+        self.budget.allows_retry(now, self.daemon_count(), priority)
+    }
+
     /// Expected time of a request at a server: the work of its route, and the time that requests spend
     /// in the queues of the servers at present.
     fn expected_work(&self, arrival: &event::Arrival) -> Duration {
@@ -106,7 +113,7 @@
                 continue;
             };
             let is_retry = !pending.tried_servers.is_empty();
-            if is_retry && !self.budget.allows_retry(now, self.daemon_count()) {
+            if is_retry && !self.allows_retry(now, pending.arrival.priority) {
                 continue;
             }
             if let Some(target) = self.select_target(now, &pending) {
--- a/crates/policy/src/selector/budget.rs
+++ b/crates/policy/src/selector/budget.rs
@@ -2,12 +2,17 @@
 //!
 //! The bound holds for all daemons together: each may use the share of its own requests and an
 //! equal part of the slack. Requests and retries are counted over a sliding window, in slices.
+//!
+//! While more attempts fail than may be retried, the retries go to what is most urgent.
 
 use std::collections::VecDeque;
 use std::time::Duration;
 
 use monsooncart_types::time;
 
+/// Share of the budget that is kept for the most urgent kind of requests, where there are several.
+const URGENT_SHARE: f64 = 0.5;
+
 /// Number of slices of the window.
 const WINDOW_SLICES: u32 = 20;
 
@@ -46,6 +51,8 @@
     number: u64,
     requests: u32,
     retries: u32,
+    /// Highest priority of its requests; 0 is the highest.
+    priority: u32,
 }
 
 /// Counts requests and retries, and decides whether another retry is permitted.
@@ -65,9 +72,11 @@
         }
     }
 
-    /// Counts a new request.
-    pub fn record_request(&mut self, now: time::Time) {
-        self.current_slice(now).requests += 1;
+    /// Counts a new request of this priority.
+    pub fn record_request(&mut self, now: time::Time, priority: u32) {
+        let slice = self.current_slice(now);
+        slice.requests += 1;
+        slice.priority = slice.priority.min(priority);
     }
 
     /// Counts a retry or hedge.
@@ -75,14 +84,20 @@
         self.current_slice(now).retries += 1;
     }
 
-    /// Returns whether another retry keeps the bound, given that `daemons` share the slack.
-    pub fn allows_retry(&mut self, now: time::Time, daemons: u32) -> bool {
+    /// Returns whether another retry keeps the bound, given that `daemons` share the slack. Requests
+    /// that are less urgent than others of the service leave a part of the budget to those.
+    pub fn allows_retry(&mut self, now: time::Time, daemons: u32, priority: u32) -> bool {
         self.current_slice(now);
         let requests: u32 = self.slices.iter().map(|s| s.requests).sum();
         let retries: u32 = self.slices.iter().map(|s| s.retries).sum();
         let slack = SLACK_FRACTION * self.limits.slack / f64::from(daemons.max(1));
         let share = SHARE_FRACTION * self.limits.share * f64::from(requests);
-        f64::from(retries + 1) <= share + slack
+        let most_urgent = self.slices.iter().map(|s| s.priority).min();
+        let usable = match most_urgent.is_some_and(|most_urgent| most_urgent < priority) {
+            true => 1.0 - URGENT_SHARE,
+            false => 1.0,
+        };
+        f64::from(retries + 1) <= (share + slack) * usable
     }
 
     /// Returns the slice of `now`, after removing those that have left the window.
@@ -98,6 +113,7 @@
                 number,
                 requests: 0,
                 retries: 0,
+                priority: u32::MAX,
             });
         }
         self.slices.back_mut().expect("a slice was just pushed")
--- a/crates/policy/src/selector/choice.rs
+++ b/crates/policy/src/selector/choice.rs
@@ -60,7 +60,7 @@
             return Some(index);
         }
         let retryable = arrival.repeatable && attempts_left > 1 && pending.tried_servers.is_empty();
-        let retryable = retryable && self.budget.allows_retry(now, self.daemon_count());
+        let retryable = retryable && self.allows_retry(now, arrival.priority);
         let (best, second) = two_lowest(costs.iter().map(|(_, cost)| cost.without_retry()));
         let total = |cost: &cost::Cost| {
             if !retryable {
--- a/crates/policy/src/selector/path_loss.rs
+++ b/crates/policy/src/selector/path_loss.rs
@@ -345,12 +345,12 @@
         let mut requests: Vec<_> = repeatable.map(|(request, _)| *request).collect();
         requests.sort_unstable();
         for request in requests {
-            if !self.budget.allows_retry(now, self.daemon_count()) {
-                return;
-            }
             let Some(pending) = self.requests.get(&request).cloned() else {
                 continue;
             };
+            if !self.allows_retry(now, pending.arrival.priority) {
+                continue;
+            }
             if let Some(target @ Target::Relay(_)) = self.select_target(now, &pending) {
                 self.budget.record_retry(now);
                 self.send_to(now, request, target, actions);
--- a/crates/policy/src/selector/retry.rs
+++ b/crates/policy/src/selector/retry.rs
@@ -35,12 +35,11 @@
             && (arrival.repeatable || !pending.may_have_run)
             && !is_poison
             && now < arrival.deadline;
-        let target =
-            if may_retry && (!added_load || self.budget.allows_retry(now, self.daemon_count())) {
-                self.select_target(now, &pending)
-            } else {
-                None
-            };
+        let target = if may_retry && (!added_load || self.allows_retry(now, arrival.priority)) {
+            self.select_target(now, &pending)
+        } else {
+            None
+        };
         if let Some(target) = target {
             if added_load {
                 self.budget.record_retry(now);
@@ -59,7 +58,7 @@
         };
         let is_shed = matches!(completion.outcome, outcome::Outcome::Shed { .. });
         let has_attempts = self.attempts_left(&pending) > 0;
-        let allows_retry = self.budget.allows_retry(now, self.daemon_count());
+        let allows_retry = self.allows_retry(now, arrival.priority);
         if may_retry && is_shed && has_attempts && allows_retry {
             self.wait_or_refuse(now, request, reason, actions);
         } else {
@@ -90,10 +89,10 @@
             && age >= hedge_after
             && now < arrival.deadline
             && !arrival.fingerprint.is_some_and(suspected);
-        if !may_hedge || !self.budget.allows_retry(now, self.daemon_count()) {
+        let pending = pending.clone();
+        if !may_hedge || !self.allows_retry(now, pending.arrival.priority) {
             return;
         }
-        let pending = pending.clone();
         let target = match self.is_silent(now) {
             // Another path is tried as well as another server.
             true => self.select_target_avoiding_path(now, &pending),
--- a/crates/policy/tests/selector/budget.rs
+++ b/crates/policy/tests/selector/budget.rs
@@ -33,9 +33,9 @@
             now = now + Duration::from_millis(u.int_in_range(0..=120)?);
             let budget = &mut budgets[u.choose_index(daemons)?];
             if u.ratio(1, 2)? {
-                budget.record_request(now);
+                budget.record_request(now, 0);
                 requests.push(now);
-            } else if budget.allows_retry(now, 3) {
+            } else if budget.allows_retry(now, 3, 0) {
                 budget.record_retry(now);
                 retries.push(now);
             }
@@ -52,7 +52,7 @@
     for _runs in 0..2 {
         let mut budgets = vec![Budget::new(LIMITS); 3];
         for budget in &mut budgets {
-            while budget.allows_retry(now, 3) {
+            while budget.allows_retry(now, 3, 0) {
                 budget.record_retry(now);
                 retries += 1;
             }
@@ -66,11 +66,55 @@
 fn retries_outside_the_window_do_not_count() {
     let mut budget = Budget::new(LIMITS);
     let start = time::Time::from_millis(1000);
-    while budget.allows_retry(start, 1) {
+    while budget.allows_retry(start, 1, 0) {
         budget.record_retry(start);
     }
 
     let later = start + LIMITS.window + Duration::from_secs(1);
 
-    assert!(budget.allows_retry(later, 1));
+    assert!(budget.allows_retry(later, 1, 0));
+}
+
+/// Guards against retries of less urgent requests that use up the budget: all servers shed half of the
+/// requests, a tenth of which is urgent.
+#[test]
+fn while_half_of_the_requests_is_shed_urgent_ones_find_retries_left() {
+    let mut budget = Budget::new(LIMITS);
+    let mut now = time::Time::from_millis(1000);
+    let (mut urgent, mut denied) = (0, 0);
+
+    for number in 0..20_000_u32 {
+        now = now + Duration::from_millis(2);
+        let priority = if number.is_multiple_of(10) { 0 } else { 1 };
+        budget.record_request(now, priority);
+        // Of ten requests the first one and four others are shed.
+        let is_shed = number % 10 < 5;
+        urgent += u32::from(is_shed && priority == 0);
+        match is_shed && budget.allows_retry(now, 1, priority) {
+            true => budget.record_retry(now),
+            false => denied += u32::from(is_shed && priority == 0),
+        }
+    }
+
+    assert!(denied * 20 <= urgent, "{denied} of {urgent}");
+}
+
+#[test]
+fn requests_of_one_priority_may_use_the_whole_budget() {
+    let run = |priorities: [u32; 2]| {
+        let mut budget = Budget::new(LIMITS);
+        let now = time::Time::from_millis(1000);
+        (0..1000).for_each(|number| budget.record_request(now, priorities[number % 2]));
+        let mut retries = 0;
+        while budget.allows_retry(now, 1, priorities[0]) {
+            budget.record_retry(now);
+            retries += 1;
+        }
+        retries
+    };
+
+    let alone = run([2, 2]);
+    let beside_urgent = run([2, 1]);
+
+    assert!(beside_urgent < alone, "{beside_urgent} of {alone}");
 }
