--- a/crates/proxy/src/account.rs
+++ b/crates/proxy/src/account.rs
@@ -6,7 +6,7 @@
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use http::HeaderValue;
 use monsooncart_policy::{handle, outcome};
@@ -18,6 +18,8 @@
     common: Arc<common::Common>,
     record: interface::Record,
     attempts: Vec<trace::Attempt>,
+    /// Time from the arrival to the first attempt; `None` before it.
+    queued_for: Option<Duration>,
     started_at: Instant,
     claim: Option<claim::Claim>,
     permit: Option<permit::Permit>,
@@ -48,12 +50,13 @@
             complete: false,
             received_bytes: 0,
             sent_bytes: 0,
-            latency: std::time::Duration::ZERO,
+            latency: Duration::ZERO,
         };
         Self {
             common,
             record,
             attempts: Vec::new(),
+            queued_for: None,
             started_at: Instant::now(),
             claim: None,
             permit: None,
@@ -103,6 +106,16 @@
         self.possibly_sent.clone()
     }
 
+    /// Records that the request leaves the queue of its service.
+    pub fn record_dispatched(&mut self) {
+        if self.queued_for.is_none() {
+            let queued_for = self.started_at.elapsed();
+            let metrics = &self.common.metrics;
+            metrics.record_queued(&self.record.service, queued_for.as_secs_f64());
+            self.queued_for = Some(queued_for);
+        }
+    }
+
     pub fn start_attempt(&mut self, server: &id::Server) {
         self.record.attempts += 1;
         self.record.server = Some(server.clone());
@@ -180,6 +193,7 @@
             refusal,
             status = record.status.unwrap_or_default(),
             run:% = record.execution,
+            queued_ms = self.queued_for.unwrap_or_default().as_millis(),
             head_ms = record.latency.as_millis(),
             millis = self.elapsed_millis(),
             sent = record.sent_bytes,
--- a/crates/proxy/src/metrics.rs
+++ b/crates/proxy/src/metrics.rs
@@ -18,6 +18,7 @@
 pub struct Metrics {
     requests: IntCounterVec,
     durations: HistogramVec,
+    queued_durations: HistogramVec,
     attempts: IntCounterVec,
     paths_lost: IntCounterVec,
     relayed: IntCounterVec,
@@ -84,6 +85,17 @@
                     &["service", "outcome"],
                 ),
             )?,
+            queued_durations: register(
+                registry,
+                HistogramVec::new(
+                    HistogramOpts::new(
+                        "monsooncart_queued_seconds",
+                        "Time from a request's arrival to its first attempt, by service.",
+                    )
+                    .buckets(LATENCY_BUCKETS_SECONDS.to_vec()),
+                    &["service"],
+                ),
+            )?,
             attempts: counters(
                 "monsooncart_attempts_total",
                 "Attempts that ended, by service and end.",
@@ -140,6 +152,13 @@
         })
     }
 
+    /// Records the time that a request waited for its first attempt.
+    pub fn record_queued(&self, service: &id::Service, seconds: f64) {
+        self.queued_durations
+            .with_label_values(&[service.as_str()])
+            .observe(seconds);
+    }
+
     /// Counts a lost path to the servers of a service.
     pub fn count_lost_path(&self, service: &id::Service) {
         self.paths_lost.with_label_values(&[service.as_str()]).inc();
--- a/crates/proxy/src/pass.rs
+++ b/crates/proxy/src/pass.rs
@@ -100,6 +100,7 @@
                     }
                     service::Command::Send { attempt, server, fresh_connection, grounds } => {
                         queued.finish();
+                        self.account.record_dispatched();
                         self.record_retry(&server);
                         let (abort_handle, registration) = AbortHandle::new_pair();
                         abort_handles.insert(attempt, abort_handle);
@@ -113,6 +114,7 @@
                     }
                     service::Command::Relay { attempt, peer, max_attempts } => {
                         queued.finish();
+                        self.account.record_dispatched();
                         let (abort_handle, registration) = AbortHandle::new_pair();
                         abort_handles.insert(attempt, abort_handle);
                         let future = self.start_relayed_attempt(attempt, peer, max_attempts);
