--- a/crates/policy/src/selector/admission.rs
+++ b/crates/policy/src/selector/admission.rs
@@ -14,10 +14,6 @@
 /// Share of its latency objective for which a request waits for a server that is trusted.
 const TRUST_WAIT_SHARE: f64 = 0.3;
 
-/// Number of waiting requests that are tried when there may be room: different requests may go to
-/// different servers.
-const MAX_CANDIDATES: usize = 3;
-
 impl Selector {
     /// Highest probability of failure at which a request is sent now.
     pub(super) fn max_risk(&self, now: time::Time, pending: &Pending) -> f64 {
@@ -107,7 +103,7 @@
 
     /// The next request that waits and for which there is room.
     fn next_from_queue(&mut self, now: time::Time) -> Option<(handle::Request, path_loss::Target)> {
-        for request in self.queue.candidates(now, MAX_CANDIDATES) {
+        for request in self.queue.candidates(now).into_iter().flatten() {
             let Some(pending) = self.requests.get(&request).cloned() else {
                 self.queue.remove(request);
                 continue;
--- a/crates/policy/src/waiting.rs
+++ b/crates/policy/src/waiting.rs
@@ -18,6 +18,10 @@
 /// Maximum number of requests in the queue.
 pub const MAX_WAITING: usize = 256;
 
+/// Number of requests that are tried when there may be room: different requests may go to different
+/// servers.
+pub const CANDIDATES: usize = 3;
+
 /// Of this many requests that leave the queue, one is the request that has waited longest.
 const FAIR_INTERVAL: u32 = 8;
 
@@ -281,17 +285,28 @@
         }
     }
 
-    /// The requests in the order in which they may go, at most `count`.
+    /// The first requests in the order in which they may go.
     #[must_use]
-    pub fn candidates(&self, now: time::Time, count: usize) -> Vec<handle::Request> {
-        let mut ordered: Vec<&Waiter> = self.waiters.iter().collect();
-        ordered.sort_by_cached_key(|waiter| waiter.rank(now));
+    pub fn candidates(&self, now: time::Time) -> [Option<handle::Request>; CANDIDATES] {
         let is_fair_turn = self.left_since_fair + 1 >= FAIR_INTERVAL;
         let oldest = self.waiters.front().filter(|_| is_fair_turn);
-        let oldest = oldest.map(|waiter| waiter.request);
-        let ordered = ordered.into_iter().map(|waiter| waiter.request);
-        let ordered = ordered.filter(|request| Some(*request) != oldest);
-        oldest.into_iter().chain(ordered).take(count).collect()
+        let mut first = [None; CANDIDATES];
+        for waiter in &self.waiters {
+            // The oldest one goes before all others at its turn.
+            let is_oldest = oldest.is_some_and(|oldest| oldest.request == waiter.request);
+            let mut candidate = Some(((!is_oldest, waiter.rank(now)), waiter.request));
+            for place in &mut first {
+                let goes_before = match (&candidate, &*place) {
+                    (Some((rank, _)), Some((other, _))) => rank < other,
+                    (candidate, None) => candidate.is_some(),
+                    (None, Some(_)) => false,
+                };
+                if goes_before {
+                    std::mem::swap(&mut candidate, place);
+                }
+            }
+        }
+        first.map(|place| place.map(|(_, request)| request))
     }
 
     /// Removes a request that is sent.
