--- a/crates/testbed/src/site.rs
+++ b/crates/testbed/src/site.rs
@@ -29,6 +29,32 @@
 /// Port of the daemons' listener for other daemons.
 pub const PEERS_PORT: u16 = 7105;
 
+/// An organisation of a configuration.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Organisation {
+    /// Its name.
+    pub name: &'static str,
+    /// Key of its callers.
+    pub key: &'static str,
+    /// Requests per second that all daemons together admit; none for no limit.
+    pub rate: Option<f64>,
+    /// Requests that may come at once.
+    pub burst: f64,
+}
+
+impl Organisation {
+    /// The organisation as an entry of the platform's configuration.
+    #[must_use]
+    pub fn entry(&self) -> Value {
+        json!({
+            "name": self.name,
+            "api_keys": [self.key],
+            "rate_per_s": self.rate.unwrap_or_default(),
+            "burst": self.burst,
+        })
+    }
+}
+
 /// Creates a route of the platform's configuration for the paths with a prefix. The type is `safe`
 /// or `unsafe`.
 #[must_use]
@@ -93,6 +119,10 @@
             "grace": "6s",
             "lifetime_max": "5s",
             "retries": {"share": 0.2, "slack": 50, "window": "10s"},
+            "memory_mb": 260,
+            "wait_for_room": true,
+            "cover_servers": true,
+            "allowance_tolerance": {"share": 0.1, "requests": 20, "window": "5s"},
         },
     });
     if let Some(advertised) = advertised {
--- a/crates/testbed/src/soak/caller.rs
+++ b/crates/testbed/src/soak/caller.rs
@@ -15,7 +15,7 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
-use super::{Options, daemon, fleet, ledger};
+use super::{Options, daemon, fleet, ledger, operator};
 use crate::{site, worker};
 
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
@@ -35,6 +35,10 @@
 /// Share of unrepeatable requests.
 const UNREPEATABLE_SHARE: f64 = 0.6;
 
+/// Shares of requests with the key of a limited organisation, and with a key of nobody.
+const LIMITED_SHARE: f64 = 0.3;
+const UNKNOWN_SHARE: f64 = 0.02;
+
 /// Share of requests after which a caller closes its connection.
 const CLOSE_SHARE: f64 = 0.1;
 
@@ -128,18 +132,32 @@
         })
     }
 
+    fn choose_key(&mut self) -> &'static str {
+        let [unlimited, limited] = operator::ORGANISATIONS;
+        let draw: f64 = self.rng.random();
+        match () {
+            () if draw < UNKNOWN_SHARE => operator::UNKNOWN_KEY,
+            () if draw < UNKNOWN_SHARE + LIMITED_SHARE => limited.key,
+            () => unlimited.key,
+        }
+    }
+
     async fn send_request(&mut self, mut connection: Connection) {
         let id = self.fleet.ledger.next_id();
         let repeatable = !self.rng.random_bool(UNREPEATABLE_SHARE);
-        let request = build_request(&id, repeatable);
+        let key = self.choose_key();
+        let request = build_request(&id, repeatable, key);
         if connection.sender.ready().await.is_err() {
             return;
         }
+        let sent_at = Instant::now();
         let (outcome, reusable) = exchange(&mut connection.sender, request, &id).await;
         self.fleet.ledger.record_request(ledger::Request {
             id,
             repeatable,
+            key,
             daemon: connection.daemon,
+            sent_at,
             completed_at: Instant::now(),
             outcome,
         });
@@ -149,7 +167,7 @@
     }
 }
 
-fn build_request(id: &str, repeatable: bool) -> http::Request<Full<Bytes>> {
+fn build_request(id: &str, repeatable: bool, key: &'static str) -> http::Request<Full<Bytes>> {
     let (method, path, body) = match repeatable {
         true => ("GET", format!("/read/{id}"), ""),
         false => ("POST", format!("/buy/{id}"), "pay"),
@@ -159,6 +177,7 @@
     *request.uri_mut() = path.parse().unwrap_or_default();
     let headers = request.headers_mut();
     headers.insert("host", http::HeaderValue::from_static(site::HOST));
+    headers.insert("x-credential", http::HeaderValue::from_static(key));
     headers.insert("x-deadline-ms", (REQUEST_TIMEOUT.as_millis() as u64).into());
     if let Ok(id) = http::HeaderValue::from_str(id) {
         headers.insert("x-attempt-id", id);
@@ -218,7 +237,7 @@
 /// Sends a GET request on a new connection; returns status and body.
 pub async fn get(address: net::SocketAddr, path: &str) -> Option<(u16, Bytes)> {
     let mut sender = connect(address).await?;
-    let mut request = build_request("", true);
+    let mut request = build_request("", true, operator::ORGANISATIONS[0].key);
     *request.uri_mut() = path.parse().ok()?;
     let response = async {
         let response = sender.send_request(request).await.ok()?;
@@ -239,6 +258,7 @@
     let Some(mut sender) = connect(daemon.caller_address()).await else {
         return false;
     };
-    let (outcome, _) = exchange(&mut sender, build_request(id, true), id).await;
+    let request = build_request(id, true, operator::ORGANISATIONS[0].key);
+    let (outcome, _) = exchange(&mut sender, request, id).await;
     outcome == ledger::Outcome::Answered(200, true)
 }
--- a/crates/testbed/src/soak/ledger.rs
+++ b/crates/testbed/src/soak/ledger.rs
@@ -7,7 +7,7 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
-use super::{fleet, plan};
+use super::{fleet, operator, plan};
 
 /// Time after the last fault before time limits apply again, as the users define it.
 pub const STABILITY_TIME: Duration = Duration::from_secs(3);
@@ -37,6 +37,10 @@
     Runs,
     /// Requests are served again after the last fault.
     Recovers,
+    /// A request without the key of an organisation is not executed, and no server receives a key.
+    Keys,
+    /// All daemons together keep to the allowance of an organisation.
+    Allowance,
 }
 
 /// A violated guarantee.
@@ -108,8 +112,12 @@
     pub id: String,
     /// Whether it may be executed more than once.
     pub repeatable: bool,
+    /// Key of the caller.
+    pub key: &'static str,
     /// Address and run number of the daemon that it was sent to.
     pub daemon: (net::IpAddr, u32),
+    /// When it was sent.
+    pub sent_at: Instant,
     /// When the response or the failure was received.
     pub completed_at: Instant,
     /// Outcome for the caller.
@@ -253,6 +261,8 @@
         }
         check_request(ledger, request, executions, &stops);
     }
+    check_keys(fleet);
+    check_allowances(ledger, &requests, &executions_by_id);
     let records = ledger.records();
     report.disturbances.clone_from(&records.disturbances);
     report.violation_count = records.violation_count;
@@ -260,9 +270,57 @@
     report
 }
 
+/// Checks that no server received a key.
+fn check_keys(fleet: &fleet::Fleet) {
+    for worker in fleet.workers() {
+        let has_key = |head: &String| head.to_ascii_lowercase().contains("x-credential");
+        if let Some(head) = worker.heads().iter().find(|head| has_key(head)) {
+            let detail = format!("server {} received a key: {head}", worker.id());
+            fleet.ledger.record_violation(Guarantee::Keys, detail);
+        }
+    }
+}
+
+/// Length of the windows over which an allowance is counted, as the users define it.
+const ALLOWANCE_WINDOW: Duration = Duration::from_secs(5);
+
+/// Checks that no window has more executed requests of an organisation than its allowance, with the
+/// users' tolerance.
+fn check_allowances(ledger: &Ledger, requests: &[Request], executions: &BTreeMap<String, u32>) {
+    for organisation in operator::ORGANISATIONS {
+        let Some(rate) = organisation.rate else {
+            continue;
+        };
+        let within = rate * ALLOWANCE_WINDOW.as_secs_f64() + organisation.burst;
+        let allowed = within * 1.1 + 20.0;
+        let own = requests.iter().filter(|r| r.key == organisation.key);
+        let executed = own.filter(|r| executions.contains_key(&r.id));
+        let mut sent: Vec<_> = executed.map(|r| r.sent_at).collect();
+        sent.sort_unstable();
+        let mut first = 0;
+        let mut largest = 0;
+        for (index, at) in sent.iter().enumerate() {
+            while at.duration_since(sent[first]) > ALLOWANCE_WINDOW {
+                first += 1;
+            }
+            largest = largest.max(index + 1 - first);
+        }
+        if largest as f64 > allowed {
+            let name = organisation.name;
+            let detail =
+                format!("{largest} requests of {name} in a window, {allowed:.0} are allowed");
+            ledger.record_violation(Guarantee::Allowance, detail);
+        }
+    }
+}
+
 fn check_request(ledger: &Ledger, request: &Request, executions: u32, stops: &[Stop]) {
     let Request { id, daemon, .. } = request;
     let (ip, run_number) = daemon;
+    if request.key == operator::UNKNOWN_KEY && executions > 0 {
+        let detail = format!("request {id} to {ip} run {run_number} was executed without a key");
+        ledger.record_violation(Guarantee::Keys, detail);
+    }
     if !request.repeatable && executions > 1 {
         let detail =
             format!("request {id} to {ip} run {run_number} was executed {executions} times");
--- a/crates/testbed/src/soak/operator.rs
+++ b/crates/testbed/src/soak/operator.rs
@@ -14,6 +14,25 @@
 use super::{caller, fleet, ledger};
 use crate::{registry, site};
 
+/// Organisations of all configurations.
+pub const ORGANISATIONS: [site::Organisation; 2] = [
+    site::Organisation {
+        name: "paper",
+        key: "key-of-paper",
+        rate: None,
+        burst: 0.0,
+    },
+    site::Organisation {
+        name: "radio",
+        key: "key-of-radio",
+        rate: Some(10.0),
+        burst: 10.0,
+    },
+];
+
+/// A key of no organisation.
+pub const UNKNOWN_KEY: &str = "key-of-nobody";
+
 /// Time limit for a change to be in force.
 const IN_FORCE_LIMIT: Duration = Duration::from_secs(2);
 
@@ -59,7 +78,9 @@
         for change in [number - 1, number] {
             rules.push(site::rule(&route_path(change), "safe", site::SERVICE));
         }
-        let configuration = site::configuration(number, &rules);
+        let mut configuration = site::configuration(number, &rules);
+        let organisations = ORGANISATIONS.iter().map(site::Organisation::entry);
+        configuration["tenants"] = organisations.collect();
         self.registry.put("config", "main", &configuration);
         *self.lock_configuration() = configuration;
         *last_change = (number, Instant::now());
--- a/tests/all/once.rs
+++ b/tests/all/once.rs
@@ -311,8 +311,13 @@
         executing
     };
     let send = fleet.daemons[0].post("/wiredesk/once", &headers, "one");
-    let (reply, crashed) = tokio::join!(send, crash);
-    let reply = reply.expect("response");
+    tokio::pin!(send, crash);
+    let crashed = tokio::select! {
+        biased;
+        crashed = &mut crash => crashed,
+        reply = &mut send => panic!("response before the server crashed: {reply:?}"),
+    };
+    let reply = send.await.expect("response");
 
     assert_eq!(reply.status, 502);
     assert_eq!(reply.header("monsooncart-outcome"), "unknown");
