--- a/crates/daemon/src/gateway/allowances.rs
+++ b/crates/daemon/src/gateway/allowances.rs
@@ -51,8 +51,10 @@
             requests: tolerance.requests,
             window: tolerance.window.0,
         };
+        let expects_others = !settings.seeds.is_empty();
+        let ledger = allowance::Ledger::new(now, instance, vm, tolerance, expects_others);
         Self {
-            ledger: Mutex::new(allowance::Ledger::new(now, instance, vm, tolerance)),
+            ledger: Mutex::new(ledger),
             wake: Notify::new(),
         }
     }
--- a/crates/policy/benches/admission.rs
+++ b/crates/policy/benches/admission.rs
@@ -22,7 +22,8 @@
 fn ledger(holders: u64) -> (allowance::Ledger, time::Time) {
     let started_at = time::Time::from_millis(1_000);
     let own = instance::Instance(1);
-    let mut ledger = allowance::Ledger::new(started_at, own, 1, allowance::Tolerance::default());
+    let mut ledger =
+        allowance::Ledger::new(started_at, own, 1, allowance::Tolerance::default(), true);
     let holder = |number| allowance::Holder {
         daemon: instance::Instance(number),
         is_local: number % 3 == 1,
--- a/crates/policy/src/allowance/ledger.rs
+++ b/crates/policy/src/allowance/ledger.rs
@@ -6,8 +6,8 @@
 
 use super::{
     BASE_HOLDERS, BASE_RATE, BASE_SHARE, Decision, FIRST_LENDERS, Limit, MAX_LENDERS, Organisation,
-    REPORT_INTERVAL_PER_RECEIVER, SILENCE_RETENTION, SYNC_TIMEOUT, Tolerance, account, loan, peer,
-    report,
+    REPORT_INTERVAL_PER_RECEIVER, SILENCE_RETENTION, SOLITUDE_TIMEOUT, SYNC_TIMEOUT, Tolerance,
+    account, loan, peer, report,
 };
 use crate::rank;
 
@@ -67,6 +67,8 @@
     vm: u64,
     started_at: time::Time,
     tolerance: Tolerance,
+    /// Whether there are other daemons, also while none is known.
+    expects_others: bool,
     is_holder: bool,
     /// Whether the weights of the others are known, so that this daemon may use its own.
     is_synced: bool,
@@ -88,14 +90,22 @@
 }
 
 impl Ledger {
-    /// Creates the ledger of the daemon `own` on the VM `vm`, which starts at `now`.
+    /// Creates the ledger of the daemon `own` on the VM `vm`, which starts at `now`. `expects_others`
+    /// tells whether it is to join a fleet.
     #[must_use]
-    pub fn new(now: time::Time, own: instance::Instance, vm: u64, tolerance: Tolerance) -> Self {
+    pub fn new(
+        now: time::Time,
+        own: instance::Instance,
+        vm: u64,
+        tolerance: Tolerance,
+        expects_others: bool,
+    ) -> Self {
         Self {
             own,
             vm,
             started_at: now,
             tolerance,
+            expects_others,
             is_holder: false,
             is_synced: false,
             accounts: map::Map::default(),
@@ -258,7 +268,7 @@
             return;
         }
         let effective = known.map_or(0.0, |account| account.effective.value());
-        let part = self.part_of(organisation, limit, effective);
+        let part = self.part_of(now, organisation, limit, effective);
         let has_token = self.base_holders(organisation).contains(&self.own);
         let started_at = self.started_at;
         let account = self
@@ -279,15 +289,33 @@
         let is_any_known = self.peers.values().any(|peer| peer.is_holder);
         self.is_synced = match is_any_known {
             true => !self.peers.values().any(|peer| peer.is_awaited(now)),
-            false => self.is_holder && now.since(self.started_at) >= SYNC_TIMEOUT,
+            false => self.is_holder && (!self.expects_others || self.is_waiting_over(now)),
         };
         if self.is_synced {
             self.generation += 1;
         }
     }
 
+    /// Whether the daemon has waited long enough for others.
+    fn is_waiting_over(&self, now: time::Time) -> bool {
+        now.since(self.started_at) >= SYNC_TIMEOUT
+    }
+
+    /// Whether others are expected and none is known.
+    fn is_in_solitude(&self, now: time::Time) -> bool {
+        let knows_others = self.peers.values().any(|peer| peer.is_holder);
+        let is_early = now.since(self.started_at) < SOLITUDE_TIMEOUT;
+        self.expects_others && !knows_others && is_early
+    }
+
     /// Share of an allowance for an effective weight.
-    fn part_of(&self, organisation: Organisation, limit: Limit, effective: f64) -> f64 {
+    fn part_of(
+        &self,
+        now: time::Time,
+        organisation: Organisation,
+        limit: Limit,
+        effective: f64,
+    ) -> f64 {
         if !self.is_synced {
             return 0.0;
         }
@@ -298,14 +326,15 @@
             true => base,
             false => 0.0,
         };
-        let own = effective.max(base_of(&self.own));
+        let mut own = effective.max(base_of(&self.own));
         let peers = self.peers.iter();
         let weights = peers.map(|(daemon, peer)| peer.weight(organisation, base_of(daemon)));
         let mut others: f64 = weights.sum();
         let is_unheard =
             |peer: &peer::Peer| peer.is_holder && peer.is_established && !peer.is_synced;
-        if self.peers.values().any(is_unheard) {
+        if self.peers.values().any(is_unheard) || self.is_in_solitude(now) {
             // This daemon started in a partition: the others may have demand for the whole rate.
+            own = base_of(&self.own);
             others = others.max(limit.rate);
         }
         if own <= 0.0 {
--- a/crates/policy/src/selector/admission.rs
+++ b/crates/policy/src/selector/admission.rs
@@ -18,8 +18,9 @@
     /// Highest probability of failure at which a request is sent now.
     pub(super) fn max_risk(&self, now: time::Time, pending: &Pending) -> f64 {
         let objective = self.latency_objective(&pending.arrival);
-        let waits =
-            self.waits && now.since(pending.arrived_at) < objective.mul_f64(TRUST_WAIT_SHARE);
+        // Repeatable requests explore: they are what shows that a server is well again.
+        let waits = self.waits && !pending.arrival.repeatable;
+        let waits = waits && now.since(pending.arrived_at) < objective.mul_f64(TRUST_WAIT_SHARE);
         if waits { MAX_RISK } else { 1.0 }
     }
 
--- a/crates/policy/src/selector/choice.rs
+++ b/crates/policy/src/selector/choice.rs
@@ -96,7 +96,7 @@
         costs: &[(usize, cost::Cost)],
     ) -> Option<usize> {
         let is_first = pending.tried_servers.is_empty();
-        if !is_first || !self.coverage.is_needed(now, self.daemon_count()) {
+        if !is_first || !self.coverage.is_needed(now) {
             return None;
         }
         let idle_time = |(index, cost): &(usize, cost::Cost)| {
--- a/crates/policy/src/selector/coverage.rs
+++ b/crates/policy/src/selector/coverage.rs
@@ -10,11 +10,7 @@
 use monsooncart_types::time;
 
 /// Share of failed requests from which servers are kept in use.
-const FAILURE_THRESHOLD: f64 = 0.08;
-
-/// As [`FAILURE_THRESHOLD`], of all daemons. Higher, as the failures that peers report include those
-/// of requests that a retry served.
-const FLEET_FAILURE_THRESHOLD: f64 = 0.12;
+const FAILURE_THRESHOLD: f64 = 0.07;
 
 /// Time constant of the exponential decay of the counts.
 const DECAY_TIME: Duration = Duration::from_secs(1);
@@ -54,7 +50,6 @@
     is_enabled: bool,
     completed: Count,
     failed: Count,
-    failed_at_peers: Count,
 }
 
 impl Coverage {
@@ -75,26 +70,11 @@
         }
     }
 
-    /// Records failed attempts that a peer reported.
-    pub fn record_peer_failures(&mut self, now: time::Time, failures: u32) {
-        self.failed_at_peers.add(now, f64::from(failures));
-    }
-
-    /// Whether so many requests fail that idle servers must be used, given that `daemons` share the
-    /// traffic.
+    /// Whether so many requests fail that idle servers must be used.
     #[must_use]
-    pub fn is_needed(&self, now: time::Time, daemons: u32) -> bool {
-        if !self.is_enabled {
-            return false;
-        }
-        let completed = self.completed.at(now);
+    pub fn is_needed(&self, now: time::Time) -> bool {
         let failed = self.failed.at(now);
-        let failed_in_fleet = failed + self.failed_at_peers.at(now);
-        let fleet = f64::from(daemons.max(1)) * completed;
-        let is_above = |failed: f64, share: f64, requests: f64| {
-            failed >= MIN_FAILURES && failed >= share * requests
-        };
-        is_above(failed, FAILURE_THRESHOLD, completed)
-            || is_above(failed_in_fleet, FLEET_FAILURE_THRESHOLD, fleet)
+        let is_significant = failed >= MIN_FAILURES;
+        self.is_enabled && is_significant && failed >= FAILURE_THRESHOLD * self.completed.at(now)
     }
 }
--- a/crates/policy/src/selector/evidence.rs
+++ b/crates/policy/src/selector/evidence.rs
@@ -253,8 +253,6 @@
         if digests.iter().any(|(_, digest)| digest.good > 0) {
             self.relays.record_proof(now, from);
         }
-        let failures = digests.iter().map(|(_, digest)| digest.bad).sum();
-        self.coverage.record_peer_failures(now, failures);
         for (server, digest) in digests {
             if let Some(known) = self.server_mut(*server) {
                 known.merge_digest(now, from, digest);
--- a/crates/policy/tests/allowance/bounds.rs
+++ b/crates/policy/tests/allowance/bounds.rs
@@ -153,3 +153,17 @@
         assert_bound(&mut fleet, &format!("seed {seed}"));
     }
 }
+
+/// Guards against a restarted daemon that takes the whole allowance while it has not found the others.
+#[test]
+fn a_daemon_that_knows_no_other_one_yet_uses_a_small_part() {
+    let (mut fleet, all) = start(5, 6);
+    flood(&mut fleet, &all, Duration::from_secs(6));
+    fleet.kill(0);
+    fleet.start(0);
+    fleet.announce_alone(0);
+
+    flood(&mut fleet, &all, Duration::from_secs(10));
+
+    assert_bound(&mut fleet, "solitude");
+}
--- a/crates/policy/tests/allowance/decisions.rs
+++ b/crates/policy/tests/allowance/decisions.rs
@@ -29,7 +29,7 @@
 fn ledger() -> (Ledger, time::Time) {
     let started_at = time::Time::from_millis(50_000);
     let now = time::Time::from_millis(60_000);
-    let mut ledger = Ledger::new(started_at, OWN, 1, Tolerance::default());
+    let mut ledger = Ledger::new(started_at, OWN, 1, Tolerance::default(), false);
     ledger.set_holders(started_at, &[holder(OWN)]);
     (ledger, now)
 }
--- a/crates/policy/tests/allowance/fleet.rs
+++ b/crates/policy/tests/allowance/fleet.rs
@@ -120,7 +120,7 @@
         let instance = instance::Instance(self.next_instance);
         self.next_instance += 1;
         Daemon {
-            ledger: Ledger::new(self.now, instance, vm as u64, TOLERANCE),
+            ledger: Ledger::new(self.now, instance, vm as u64, TOLERANCE, true),
             instance,
             is_running: true,
             is_paused: false,
@@ -144,6 +144,16 @@
         }
     }
 
+    /// Tells a daemon that it is the only one in the entry sets.
+    pub fn announce_alone(&mut self, vm: usize) {
+        let daemon = &mut self.daemons[vm];
+        let holder = Holder {
+            daemon: daemon.instance,
+            is_local: true,
+        };
+        daemon.ledger.set_holders(self.now, &[holder]);
+    }
+
     /// Kills the process on a VM.
     pub fn kill(&mut self, vm: usize) {
         self.daemons[vm].is_running = false;
