--- a/crates/policy/src/selector/coverage.rs
+++ b/crates/policy/src/selector/coverage.rs
@@ -10,17 +10,17 @@
 use monsooncart_types::time;
 
 /// Share of failed requests from which servers are kept in use.
-const FAILURE_THRESHOLD: f64 = 0.07;
+const FAILURE_THRESHOLD: f64 = 0.05;
 
 /// Time constant of the exponential decay of the counts.
-const DECAY_TIME: Duration = Duration::from_secs(1);
+const DECAY_TIME: Duration = Duration::from_secs(2);
 
 /// Number of failed requests below which a share of them means nothing.
 const MIN_FAILURES: f64 = 4.0;
 
 /// Time without an attempt after which a server is due for one, so that every server can have one in
 /// each two seconds.
-pub const IDLE_TIME: Duration = Duration::from_millis(1200);
+pub const IDLE_TIME: Duration = Duration::from_secs(1);
 
 /// Probability of failure above which a server is not given a request for the sake of its use.
 pub const MAX_RISK: f64 = 0.45;
--- a/crates/testbed/src/soak/ledger.rs
+++ b/crates/testbed/src/soak/ledger.rs
@@ -296,21 +296,33 @@
         let allowed = within * 1.1 + 20.0;
         let own = requests.iter().filter(|r| r.key == organisation.key);
         let executed = own.filter(|r| executions.contains_key(&r.id));
-        let mut spans: Vec<_> = executed.map(|r| (r.sent_at, r.completed_at)).collect();
+        let mut spans: Vec<_> = executed
+            .map(|r| (r.sent_at, r.completed_at, r.daemon))
+            .collect();
         spans.sort_unstable();
         let in_window = |start: Instant| {
             let end = start + ALLOWANCE_WINDOW;
-            let first = spans.partition_point(|(sent_at, _)| *sent_at < start);
-            let sent = spans[first..].iter().take_while(|(at, _)| *at <= end);
-            sent.filter(|(_, completed_at)| *completed_at <= end)
-                .count()
+            let first = spans.partition_point(|(sent_at, ..)| *sent_at < start);
+            let sent = spans[first..].iter().take_while(|(at, ..)| *at <= end);
+            let executed = sent.filter(|(_, completed_at, _)| *completed_at <= end);
+            let mut by_daemon = BTreeMap::<_, usize>::new();
+            for (.., daemon) in executed {
+                *by_daemon.entry(*daemon).or_default() += 1;
+            }
+            by_daemon
+        };
+        let windows = spans.iter().map(|(at, ..)| (*at, in_window(*at)));
+        let largest = windows.max_by_key(|(_, by_daemon)| by_daemon.values().sum::<usize>());
+        let Some((start, by_daemon)) = largest else {
+            continue;
         };
-        let largest = spans.iter().map(|(at, _)| in_window(*at)).max();
-        let largest = largest.unwrap_or_default();
-        if largest as f64 > allowed {
+        let count: usize = by_daemon.values().sum();
+        if count as f64 > allowed {
             let name = organisation.name;
-            let detail =
-                format!("{largest} requests of {name} in a window, {allowed:.0} are allowed");
+            let start = start.duration_since(ledger.started_at).as_secs_f64();
+            let detail = format!(
+                "{count} requests of {name} in the window from {start:.2} s, {allowed:.0} are allowed; by daemon and run: {by_daemon:?}"
+            );
             ledger.record_violation(Guarantee::Allowance, detail);
         }
     }
