Wait for the echo of every daemon of the entry sets, also of those found late

A daemon that starts finds the others one by one. Those that it found after it had heard the first ones counted as new, so it raised its weights without their echo. Change: the echoes of all daemons of the entry sets are waited for. A daemon that has not heard all of them uses its base weight in its first 15 s.

--- a/crates/policy/src/allowance.rs
+++ b/crates/policy/src/allowance.rs
@@ -62,8 +62,9 @@
 /// Time for which a daemon that starts waits for the weights of the others before it uses its own.
 const SYNC_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// Time for which a daemon that expects others and knows none uses a small part alone.
-const SOLITUDE_TIMEOUT: Duration = Duration::from_secs(15);
+/// Time from the start for which a daemon that has not heard all others uses its base weight alone, as
+/// it may learn of them one by one.
+const FINDING_TIME: Duration = Duration::from_secs(15);
 
 /// Requests that all daemons together may admit for an organisation.
 #[derive(Clone, Copy, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
--- a/crates/policy/src/allowance/ledger.rs
+++ b/crates/policy/src/allowance/ledger.rs
@@ -5,8 +5,8 @@
 use monsooncart_types::{instance, map, time};
 
 use super::{
-    BASE_HOLDERS, BASE_RATE, BASE_SHARE, Decision, FIRST_LENDERS, Limit, MAX_LENDERS, Organisation,
-    REPORT_INTERVAL_PER_RECEIVER, SILENCE_RETENTION, SOLITUDE_TIMEOUT, SYNC_TIMEOUT, Tolerance,
+    BASE_HOLDERS, BASE_RATE, BASE_SHARE, Decision, FINDING_TIME, FIRST_LENDERS, Limit, MAX_LENDERS,
+    Organisation, REPORT_INTERVAL_PER_RECEIVER, SILENCE_RETENTION, SYNC_TIMEOUT, Tolerance,
     account, loan, peer, report,
 };
 use crate::rank;
@@ -128,9 +128,8 @@
         }
         let others = holders.iter().filter(|holder| holder.daemon != self.own);
         for holder in others.filter(|holder| !self.superseded.contains(&holder.daemon)) {
-            let is_established = !self.is_synced;
             let peer = self.peers.entry(holder.daemon);
-            let peer = peer.or_insert_with(|| peer::Peer::new(now, is_established));
+            let peer = peer.or_insert_with(|| peer::Peer::new(now));
             peer.is_holder = true;
             peer.is_local = holder.is_local;
         }
@@ -301,11 +300,13 @@
         now.since(self.started_at) >= SYNC_TIMEOUT
     }
 
-    /// Whether others are expected and none is known.
-    fn is_in_solitude(&self, now: time::Time) -> bool {
-        let knows_others = self.peers.values().any(|peer| peer.is_holder);
-        let is_early = now.since(self.started_at) < SOLITUDE_TIMEOUT;
-        self.expects_others && !knows_others && is_early
+    /// Whether this daemon has started lately and has not heard all others, or knows none.
+    fn is_finding_others(&self, now: time::Time) -> bool {
+        let is_early = now.since(self.started_at) < FINDING_TIME;
+        let mut holders = self.peers.values().filter(|peer| peer.is_holder).peekable();
+        let knows_others = holders.peek().is_some();
+        let has_heard_all = holders.all(|peer| peer.is_synced);
+        is_early && self.expects_others && !(knows_others && has_heard_all)
     }
 
     /// Share of an allowance for an effective weight.
@@ -330,10 +331,8 @@
         let peers = self.peers.iter();
         let weights = peers.map(|(daemon, peer)| peer.weight(organisation, base_of(daemon)));
         let mut others: f64 = weights.sum();
-        let is_unheard =
-            |peer: &peer::Peer| peer.is_holder && peer.is_established && !peer.is_synced;
-        if self.peers.values().any(is_unheard) || self.is_in_solitude(now) {
-            // This daemon started in a partition: the others may have demand for the whole rate.
+        if self.is_finding_others(now) {
+            // Those that this daemon has not heard may have demand for the whole rate.
             own = base_of(&self.own);
             others = others.max(limit.rate);
         }
@@ -379,11 +378,9 @@
             self.supersede(report);
         }
         let peer = self.peers.entry(report.from);
-        let is_established = !self.is_synced;
-        let peer = peer.or_insert_with(|| peer::Peer::new(now, is_established));
+        let peer = peer.or_insert_with(|| peer::Peer::new(now));
         peer.apply(now, report);
         peer.echoed = report.echo;
-        peer.is_established |= report.echo > 0;
         self.generation += 1;
         self.confirm();
     }
--- a/crates/policy/src/allowance/peer.rs
+++ b/crates/policy/src/allowance/peer.rs
@@ -21,9 +21,6 @@
     pub applied: u64,
     /// Number of the last change of this daemon that it has echoed.
     pub echoed: u64,
-    /// Whether it may divide by weights without this daemon's: it was there first, or has echoed it once.
-    /// One that starts uses no weight before it knows those of this daemon.
-    pub is_established: bool,
     /// When it was heard last, or became known.
     pub heard_at: time::Time,
     /// When it was first asked for its weights.
@@ -40,7 +37,7 @@
 
 impl Peer {
     /// Creates a daemon of which nothing was received yet.
-    pub fn new(now: time::Time, is_established: bool) -> Self {
+    pub fn new(now: time::Time) -> Self {
         Self {
             vm: None,
             is_holder: false,
@@ -48,7 +45,6 @@
             claims: map::Map::default(),
             applied: 0,
             echoed: 0,
-            is_established,
             heard_at: now,
             asked_at: None,
             is_synced: false,
@@ -82,7 +78,7 @@
 
     /// Whether this daemon must wait for its echoes before it uses a higher weight.
     pub fn is_required(&self) -> bool {
-        (self.is_holder && self.is_established) || !self.claims.is_empty()
+        self.is_holder || !self.claims.is_empty()
     }
 
     /// Whether its weights are still to be waited for.
@@ -114,7 +110,7 @@
 
     /// Whether reports are sent to it.
     pub fn is_addressed(&self) -> bool {
-        self.is_holder || self.is_required() || self.awaits_echo
+        self.is_required() || self.awaits_echo
     }
 
     /// Forgets its weights, which are no longer reported to this daemon.
--- a/crates/policy/tests/allowance/bounds.rs
+++ b/crates/policy/tests/allowance/bounds.rs
@@ -161,9 +161,30 @@
     flood(&mut fleet, &all, Duration::from_secs(6));
     fleet.kill(0);
     fleet.start(0);
-    fleet.announce_alone(0);
+    fleet.announce_to(0, &[0]);
 
     flood(&mut fleet, &all, Duration::from_secs(10));
 
     assert_bound(&mut fleet, "solitude");
 }
+
+/// Guards against restarted daemons that go on dividing among those which they found first: each one
+/// finds the daemon with all of the demand last, after half a second.
+#[test]
+fn daemons_that_find_the_others_one_by_one_do_not_divide_without_them() {
+    let (mut fleet, all) = start(5, 7);
+    flood(&mut fleet, &[1], Duration::from_secs(6));
+    for vm in [0, 2, 3, 4] {
+        fleet.kill(vm);
+        fleet.start(vm);
+    }
+    for vm in [0, 2, 3, 4] {
+        fleet.announce_to(vm, &[0, 2, 3, 4]);
+    }
+    flood(&mut fleet, &all, Duration::from_millis(500));
+    fleet.announce_holders();
+
+    flood(&mut fleet, &all, Duration::from_secs(8));
+
+    assert_bound(&mut fleet, "one by one");
+}
--- a/crates/policy/tests/allowance/fleet.rs
+++ b/crates/policy/tests/allowance/fleet.rs
@@ -144,14 +144,14 @@
         }
     }
 
-    /// Tells a daemon that it is the only one in the entry sets.
-    pub fn announce_alone(&mut self, vm: usize) {
-        let daemon = &mut self.daemons[vm];
-        let holder = Holder {
-            daemon: daemon.instance,
+    /// Tells a daemon alone that the daemons on these VMs are in the entry sets.
+    pub fn announce_to(&mut self, vm: usize, holders: &[usize]) {
+        let holder = |vm: &usize| Holder {
+            daemon: self.daemons[*vm].instance,
             is_local: true,
         };
-        daemon.ledger.set_holders(self.now, &[holder]);
+        let holders: Vec<_> = holders.iter().map(holder).collect();
+        self.daemons[vm].ledger.set_holders(self.now, &holders);
     }
 
     /// Kills the process on a VM.
