Split the ledger of allowances and the requests of the selector; refuse malformed loans

A loan with a number that is not finite or negative would have spoiled a bucket for good; it is ignored. Two tests of loans; otherwise no change of behaviour.

--- a/crates/policy/src/allowance.rs
+++ b/crates/policy/src/allowance.rs
@@ -9,14 +9,15 @@
 //! It uses a higher one only after all daemons with a weight have echoed it, and it divides by the
 //! latest weights that it has echoed. Messages that are lost or late, partitions and paused processes
 //! therefore delay a higher part and never duplicate one. The exceptions are bounded: daemons whose
-//! views of the entry sets differ ([`BASE_SHARE`]), and a daemon that was silent for
-//! [`SILENCE_RETENTION`].
+//! views of the entry sets differ (`BASE_SHARE`), and a daemon that was silent for
+//! `SILENCE_RETENTION`.
 
 mod account;
 mod demand;
 mod ledger;
 pub mod loan;
 mod peer;
+mod received;
 pub mod report;
 pub mod weight;
 
--- a/crates/policy/src/allowance/ledger.rs
+++ b/crates/policy/src/allowance/ledger.rs
@@ -1,56 +1,22 @@
 //! The parts of one daemon of all allowances.
 
+mod lending;
+mod reporting;
+
 use std::time::Duration;
 
 use monsooncart_types::{instance, map, time};
 
 use super::{
-    BASE_HOLDERS, BASE_RATE, BASE_SHARE, Decision, FINDING_TIME, FIRST_LENDERS, Limit, MAX_LENDERS,
-    Organisation, REPORT_INTERVAL_PER_RECEIVER, SILENCE_RETENTION, SYNC_TIMEOUT, Tolerance,
-    account, loan, peer, report,
+    BASE_HOLDERS, BASE_RATE, BASE_SHARE, Decision, FINDING_TIME, FIRST_LENDERS, Limit,
+    Organisation, SILENCE_RETENTION, SYNC_TIMEOUT, Tolerance, account, loan, peer, received,
+    report,
 };
 use crate::rank;
 
-/// Maximum number of earlier instances whose late reports are recognised.
-const MAX_SUPERSEDED: usize = 256;
-
 /// Time without a report after which a daemon's missing echo does not lengthen the reports.
 const ACTIVE_TIME: Duration = Duration::from_secs(2);
 
-/// Numbers that were received of a daemon.
-#[derive(Clone, Copy, Debug, Default)]
-struct Received {
-    latest: u64,
-    /// Which of the numbers before the latest one were received, the closest in the lowest bit.
-    before: u64,
-}
-
-impl Received {
-    /// Records a number; returns whether it was not received before.
-    fn record(&mut self, number: u64) -> bool {
-        if number > self.latest {
-            let shift = number - self.latest;
-            let shifted =
-                |bits: u64, by: u64| u32::try_from(by).ok().and_then(|by| bits.checked_shl(by));
-            let before = shifted(self.before, shift).unwrap_or(0);
-            let latest = shifted(1, shift - 1).unwrap_or(0);
-            self.before = if self.latest > 0 { before | latest } else { 0 };
-            self.latest = number;
-            return true;
-        }
-        // One that is too old counts as received.
-        let bit = u32::try_from(self.latest - number).ok();
-        let bit = bit.and_then(|age| 1_u64.checked_shl(age.checked_sub(1)?));
-        match bit {
-            Some(bit) if self.before & bit == 0 => {
-                self.before |= bit;
-                true
-            }
-            _ => false,
-        }
-    }
-}
-
 /// A daemon of the entry sets.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Holder {
@@ -84,7 +50,7 @@
     /// Number of asks, which varies the order of the lenders.
     asks: u64,
     /// Number of the last grant of each daemon, and those received out of order.
-    received_grants: map::Map<instance::Instance, Received>,
+    received_grants: map::Map<instance::Instance, received::Received>,
     /// Changes with every weight that parts are computed from.
     generation: u64,
 }
@@ -172,79 +138,6 @@
         decision
     }
 
-    /// Daemons that may have tokens of an organisation.
-    fn lenders(&self, organisation: Organisation) -> Vec<instance::Instance> {
-        let base_holders = self.base_holders(organisation).into_iter();
-        let mut lenders: Vec<_> = base_holders.filter(|d| *d != self.own).collect();
-        let peers = self.peers.iter();
-        let claimants = peers.filter(|(_, peer)| peer.claims.contains_key(&organisation));
-        let claimants = claimants.map(|(daemon, _)| *daemon);
-        let claimants: Vec<_> = claimants.filter(|d| !lenders.contains(d)).collect();
-        lenders.extend(claimants);
-        // Those of the own data centre first, and not always the same ones.
-        let order = |lender: &instance::Instance| {
-            let is_local = self.peers.get(lender).is_some_and(|peer| peer.is_local);
-            (!is_local, rank::mix(lender.0 ^ self.asks))
-        };
-        lenders.sort_unstable_by_key(order);
-        lenders.truncate(MAX_LENDERS);
-        lenders
-    }
-
-    /// Takes the messages about loans that are to be sent, with their receivers.
-    pub fn take_loans(&mut self) -> Vec<(instance::Instance, loan::Loan)> {
-        std::mem::take(&mut self.loans)
-    }
-
-    /// Applies a message about a loan.
-    pub fn receive_loan(&mut self, now: time::Time, loan: &loan::Loan) {
-        match *loan {
-            loan::Loan::Ask {
-                from,
-                organisation,
-                limit,
-                tokens,
-            } => self.lend(now, from, organisation, limit, tokens),
-            loan::Loan::Grant {
-                from,
-                number,
-                organisation,
-                tokens,
-            } => {
-                let is_new = self.received_grants.entry(from).or_default().record(number);
-                if let Some(account) = self.accounts.get_mut(&organisation).filter(|_| is_new) {
-                    account.receive_loan(now, tokens);
-                }
-            }
-        }
-    }
-
-    fn lend(
-        &mut self,
-        now: time::Time,
-        to: instance::Instance,
-        organisation: Organisation,
-        limit: Limit,
-        wanted: f64,
-    ) {
-        if !self.accounts.contains_key(&organisation) {
-            let limit = self.tolerance.extend(limit);
-            self.update_account(now, organisation, limit);
-        }
-        let account = self.accounts.get_mut(&organisation);
-        let tokens = account.map_or(0.0, |account| account.lend(now, wanted));
-        if tokens > 0.0 {
-            self.grants += 1;
-            let grant = loan::Loan::Grant {
-                from: self.own,
-                number: self.grants,
-                organisation,
-                tokens,
-            };
-            self.loans.push((to, grant));
-        }
-    }
-
     /// Gives the token of a request back that has not run.
     pub fn refund(&mut self, now: time::Time, organisation: Organisation) {
         if let Some(account) = self.accounts.get_mut(&organisation) {
@@ -365,51 +258,6 @@
         required.map(|peer| peer.echoed).min().unwrap_or(u64::MAX)
     }
 
-    /// Applies the report of another daemon.
-    pub fn receive(&mut self, now: time::Time, report: &report::Report) {
-        if report.from == self.own || self.superseded.contains(&report.from) {
-            return;
-        }
-        if report.is_last {
-            self.remove(report.from);
-            return;
-        }
-        if !self.peers.contains_key(&report.from) || report.since == 0 {
-            self.supersede(report);
-        }
-        let peer = self.peers.entry(report.from);
-        let peer = peer.or_insert_with(|| peer::Peer::new(now));
-        peer.apply(now, report);
-        peer.echoed = report.echo;
-        self.generation += 1;
-        self.confirm();
-    }
-
-    /// Removes the earlier instances of the reporting daemon's VM.
-    fn supersede(&mut self, report: &report::Report) {
-        let is_earlier = |(daemon, peer): &(&instance::Instance, &peer::Peer)| {
-            peer.vm == Some(report.vm) && **daemon != report.from
-        };
-        let earlier = self.peers.iter().filter(is_earlier);
-        let earlier: Vec<_> = earlier.map(|(daemon, _)| *daemon).collect();
-        for daemon in earlier {
-            self.remove(daemon);
-        }
-    }
-
-    /// Removes a daemon that is certainly gone.
-    pub fn remove(&mut self, daemon: instance::Instance) {
-        if self.superseded.len() >= MAX_SUPERSEDED {
-            self.superseded.clear();
-        }
-        self.superseded.insert(daemon);
-        self.received_grants.remove(&daemon);
-        if self.peers.remove(&daemon).is_some() {
-            self.generation += 1;
-            self.confirm();
-        }
-    }
-
     /// Uses the announced weights that all required daemons have echoed.
     fn confirm(&mut self) {
         let echoed = self.echoed();
@@ -477,82 +325,4 @@
         self.accounts
             .retain(|_, account| !account.is_idle() || account.changed_in > echoed);
     }
-
-    /// Reports that are due, with their receivers.
-    fn take_reports(&mut self, now: time::Time) -> Vec<(instance::Instance, report::Report)> {
-        let receivers = u32::try_from(self.receivers().len()).unwrap_or(u32::MAX);
-        let interval = REPORT_INTERVAL_PER_RECEIVER.saturating_mul(receivers);
-        let (changes, is_involved) = (self.changes, self.is_involved());
-        let is_due = |peer: &peer::Peer| {
-            let asks = is_involved && peer.is_holder;
-            peer.is_report_due(now, changes, asks, interval)
-        };
-        if !self.peers.values().any(is_due) {
-            return Vec::new();
-        }
-        let mut changed: Vec<_> = self.accounts.iter().collect();
-        changed.sort_unstable_by_key(|(_, account)| account.changed_in);
-        let claims = changed.into_iter().map(|(organisation, account)| {
-            let claim = report::Claim {
-                organisation: *organisation,
-                weight: account.announced,
-            };
-            (account.changed_in, claim)
-        });
-        let claims: Vec<_> = claims.collect();
-        let mut reports = Vec::new();
-        for (daemon, peer) in self.peers.iter_mut().filter(|(_, peer)| is_due(peer)) {
-            let since = peer.echoed.min(changes);
-            let first = claims.partition_point(|(changed_in, _)| *changed_in <= since);
-            let mut unknown = &claims[first..];
-            let is_whole = unknown.len() <= report::MAX_CLAIMS;
-            let mut upto = changes;
-            if !is_whole {
-                unknown = &unknown[..report::MAX_CLAIMS];
-                upto = unknown
-                    .last()
-                    .map_or(changes, |(changed_in, _)| *changed_in);
-            }
-            peer.awaits_echo = false;
-            peer.sent_upto = upto;
-            peer.sent_at = Some(now);
-            if peer.is_holder && !peer.is_synced {
-                peer.asked_at.get_or_insert(now);
-            }
-            let report = report::Report {
-                from: self.own,
-                vm: self.vm,
-                since,
-                upto,
-                claims: unknown.iter().map(|(_, claim)| *claim).collect(),
-                is_whole,
-                echo: peer.applied,
-                is_last: false,
-            };
-            reports.push((*daemon, report));
-        }
-        reports
-    }
-
-    /// The report of a daemon that stops and admits no request any more.
-    #[must_use]
-    pub fn last_report(&self) -> report::Report {
-        report::Report {
-            from: self.own,
-            vm: self.vm,
-            since: 0,
-            upto: self.changes,
-            claims: Vec::new(),
-            is_whole: true,
-            echo: 0,
-            is_last: true,
-        }
-    }
-
-    /// Daemons that receive the reports.
-    #[must_use]
-    pub fn receivers(&self) -> Vec<instance::Instance> {
-        let addressed = self.peers.iter().filter(|(_, peer)| peer.is_addressed());
-        addressed.map(|(daemon, _)| *daemon).collect()
-    }
 }
--- a/crates/policy/src/allowance/loan.rs
+++ b/crates/policy/src/allowance/loan.rs
@@ -33,3 +33,17 @@
         tokens: f64,
     },
 }
+
+impl Loan {
+    /// Whether all numbers are finite and not negative; a malformed message must not spoil a bucket.
+    #[must_use]
+    pub fn is_valid(&self) -> bool {
+        let is_amount = |value: f64| value.is_finite() && value >= 0.0;
+        match self {
+            Self::Ask { limit, tokens, .. } => {
+                is_amount(limit.rate) && is_amount(limit.burst) && is_amount(*tokens)
+            }
+            Self::Grant { tokens, .. } => is_amount(*tokens),
+        }
+    }
+}
--- a/crates/policy/src/selector.rs
+++ b/crates/policy/src/selector.rs
@@ -22,6 +22,7 @@
 mod explain;
 mod in_flight;
 mod path_loss;
+mod pending;
 pub mod rate_limit;
 mod relay;
 pub mod report;
@@ -30,7 +31,7 @@
 
 use std::time::Duration;
 
-use monsooncart_types::{instance, map, time};
+use monsooncart_types::{map, time};
 use rand::RngExt as _;
 use rand::rngs::SmallRng;
 
@@ -53,41 +54,6 @@
 /// Time for which a server that was removed from the configuration is remembered.
 const REMOVED_SERVER_RETENTION: Duration = Duration::from_secs(60);
 
-/// A request that is neither completed nor refused.
-#[derive(Clone, Debug)]
-struct Pending {
-    arrival: event::Arrival,
-    arrived_at: time::Time,
-    attempts: Vec<handle::Attempt>,
-    /// Servers that the request was sent to; they count towards its maximum number of attempts.
-    tried_servers: Vec<handle::Server>,
-    /// Servers to which no connection could be opened.
-    unreachable_servers: Vec<handle::Server>,
-    /// Daemons that were asked to relay the request.
-    tried_relays: Vec<instance::Instance>,
-    /// Number of servers that relays were allowed to send the request to, less those allowed to relays
-    /// that certainly sent it to none.
-    relayed_attempts: u32,
-    /// Whether a finished attempt may have been executed.
-    may_have_run: bool,
-}
-
-impl Pending {
-    /// A request that has just arrived.
-    fn new(now: time::Time, arrival: event::Arrival) -> Self {
-        Self {
-            arrival,
-            arrived_at: now,
-            attempts: Vec::new(),
-            tried_servers: Vec::new(),
-            unreachable_servers: Vec::new(),
-            tried_relays: Vec::new(),
-            relayed_attempts: 0,
-            may_have_run: false,
-        }
-    }
-}
-
 /// The result of an attempt.
 #[derive(Clone, Copy, Debug)]
 struct Completion {
@@ -102,7 +68,7 @@
     rng: SmallRng,
     servers: Vec<server::Server>,
     indices: map::Map<handle::Server, usize>,
-    requests: map::Map<handle::Request, Pending>,
+    requests: map::Map<handle::Request, pending::Request>,
     in_flight: map::Map<handle::Attempt, in_flight::Attempt>,
     attempts_sent: u64,
     budget: budget::Budget,
@@ -297,7 +263,7 @@
             actions.push(action::Action::Refuse { request, refusal });
             return;
         }
-        let pending = Pending::new(now, arrival);
+        let pending = pending::Request::new(now, arrival);
         // Those that wait go before it, unless it costs more to let it wait.
         let target = match self.queue.is_empty() {
             true => self.select_target(now, &pending),
--- a/crates/policy/src/selector/admission.rs
+++ b/crates/policy/src/selector/admission.rs
@@ -5,7 +5,7 @@
 use monsooncart_types::time;
 
 use super::choice::OBJECTIVE_SHARE;
-use super::{Pending, Selector, path_loss};
+use super::{Selector, path_loss, pending};
 use crate::{action, event, handle, outcome, waiting};
 
 /// Probability of failure above which a request rather waits for another server.
@@ -16,7 +16,7 @@
 
 impl Selector {
     /// Highest probability of failure at which a request is sent now.
-    pub(super) fn max_risk(&self, now: time::Time, pending: &Pending) -> f64 {
+    pub(super) fn max_risk(&self, now: time::Time, pending: &pending::Request) -> f64 {
         let objective = self.latency_objective(&pending.arrival);
         // Repeatable requests explore: they are what shows that a server is well again.
         let waits = self.waits && !pending.arrival.repeatable;
--- a/crates/policy/src/selector/choice.rs
+++ b/crates/policy/src/selector/choice.rs
@@ -5,7 +5,7 @@
 use monsooncart_types::time;
 use rand::RngExt as _;
 
-use super::{Pending, Selector, cost, coverage, server};
+use super::{Selector, cost, coverage, pending, server};
 use crate::event;
 
 /// Difference in cost up to which servers count as equal, so that daemons do not all select the
@@ -46,7 +46,11 @@
     /// [`COST_TOLERANCE`].
     ///
     /// If the request can be retried, the cost includes a retry at the best other server.
-    pub(super) fn select_server(&mut self, now: time::Time, pending: &Pending) -> Option<usize> {
+    pub(super) fn select_server(
+        &mut self,
+        now: time::Time,
+        pending: &pending::Request,
+    ) -> Option<usize> {
         let arrival = &pending.arrival;
         let attempts_left = self.attempts_left(pending);
         if attempts_left == 0 || pending.unreachable_servers.len() >= MAX_UNREACHABLE_SERVERS {
@@ -92,7 +96,7 @@
     fn select_idle_server(
         &self,
         now: time::Time,
-        pending: &Pending,
+        pending: &pending::Request,
         costs: &[(usize, cost::Cost)],
     ) -> Option<usize> {
         let is_first = pending.tried_servers.is_empty();
@@ -110,7 +114,7 @@
     }
 
     /// Index and cost of each server that the request may be sent to.
-    fn costs(&self, now: time::Time, pending: &Pending) -> Vec<(usize, cost::Cost)> {
+    fn costs(&self, now: time::Time, pending: &pending::Request) -> Vec<(usize, cost::Cost)> {
         let arrival = &pending.arrival;
         let crashed = arrival
             .fingerprint
--- a/crates/policy/src/selector/explain.rs
+++ b/crates/policy/src/selector/explain.rs
@@ -2,7 +2,7 @@
 
 use monsooncart_types::time;
 
-use super::{Pending, Selector, server};
+use super::{Selector, pending, server};
 use crate::{event, service};
 
 impl Selector {
@@ -12,7 +12,7 @@
         now: time::Time,
         arrival: event::Arrival,
     ) -> service::Explanation {
-        let pending = Pending::new(now, arrival);
+        let pending = pending::Request::new(now, arrival);
         let profile = self.request_profile(&pending.arrival);
         let max_risk = self.max_risk(now, &pending);
         let mut candidates: Vec<_> = self
--- a/crates/policy/src/selector/path_loss.rs
+++ b/crates/policy/src/selector/path_loss.rs
@@ -6,7 +6,7 @@
 use rand::seq::IndexedRandom as _;
 
 use super::evidence::MIN_FAILURE_STATUS;
-use super::{Completion, Pending, Selector, in_flight, relay};
+use super::{Completion, Selector, in_flight, pending, relay};
 use crate::{action, handle, outcome, path};
 
 /// Time for which attempts wait without a response from any server before servers are probed, as a
@@ -28,7 +28,11 @@
 impl Selector {
     /// Selects the target of an attempt: a relay where the path is lost, or doubted after a failure of
     /// this request; otherwise a server. A relayed request is not relayed again.
-    pub(super) fn select_target(&mut self, now: time::Time, pending: &Pending) -> Option<Target> {
+    pub(super) fn select_target(
+        &mut self,
+        now: time::Time,
+        pending: &pending::Request,
+    ) -> Option<Target> {
         if self.path.is_lost() && pending.arrival.relayed {
             return None;
         }
@@ -43,7 +47,7 @@
     pub(super) fn select_target_avoiding_path(
         &mut self,
         now: time::Time,
-        pending: &Pending,
+        pending: &pending::Request,
     ) -> Option<Target> {
         let may_relay = !pending.arrival.relayed
             && self.attempts_left(pending) > 0
@@ -59,7 +63,7 @@
     }
 
     /// Number of servers that the request may still be sent to.
-    pub(super) fn attempts_left(&self, pending: &Pending) -> u32 {
+    pub(super) fn attempts_left(&self, pending: &pending::Request) -> u32 {
         let tried = u32::try_from(pending.tried_servers.len()).unwrap_or(u32::MAX);
         let used = tried.saturating_add(pending.relayed_attempts);
         pending.arrival.max_attempts.saturating_sub(used)
@@ -331,7 +335,7 @@
     /// Sends repeatable requests, whose only attempt waits for a server behind a lost path, through
     /// relays as well.
     fn hedge_through_relays(&mut self, now: time::Time, actions: &mut Vec<action::Action>) {
-        let waits = |pending: &Pending| {
+        let waits = |pending: &pending::Request| {
             let [attempt] = pending.attempts.as_slice() else {
                 return false;
             };
--- a/crates/policy/tests/allowance/decisions.rs
+++ b/crates/policy/tests/allowance/decisions.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
-use monsooncart_policy::allowance::{Decision, Holder, Ledger, Limit, Organisation, Tolerance};
+use monsooncart_policy::allowance::{
+    Decision, Holder, Ledger, Limit, Organisation, Tolerance, loan,
+};
 use monsooncart_types::{instance, time};
 
 const OWN: instance::Instance = instance::Instance(1);
@@ -117,3 +119,59 @@
 
     assert_eq!(decide(&mut ledger, now), Decision::Undecided);
 }
+
+/// Guards against a malformed message that spoils a bucket for good.
+#[test]
+fn loans_with_impossible_numbers_change_nothing() {
+    let (mut ledger, now) = ledger();
+    decide(&mut ledger, now);
+    let from = instance::Instance(2);
+    for tokens in [f64::NAN, f64::INFINITY, -5.0] {
+        ledger.receive_loan(
+            now,
+            &loan::Loan::Ask {
+                from,
+                organisation: ORGANISATION,
+                limit: LIMIT,
+                tokens,
+            },
+        );
+        ledger.receive_loan(
+            now,
+            &loan::Loan::Grant {
+                from,
+                number: 1,
+                organisation: ORGANISATION,
+                tokens,
+            },
+        );
+    }
+
+    let rest: Vec<_> = (0..4).map(|_| decide(&mut ledger, now)).collect();
+
+    assert_eq!(rest, [AT_ONCE; 4]);
+    assert!(ledger.take_loans().is_empty());
+}
+
+/// Guards against tokens that exist twice because their message came twice.
+#[test]
+fn a_grant_that_comes_twice_counts_once() {
+    let (mut ledger, now) = ledger();
+    for _ in 0..40 {
+        decide(&mut ledger, now);
+    }
+    let grant = |number| loan::Loan::Grant {
+        from: instance::Instance(2),
+        number,
+        organisation: ORGANISATION,
+        tokens: 1.0,
+    };
+
+    for number in [5, 4, 5, 4, 5] {
+        ledger.receive_loan(now, &grant(number));
+    }
+
+    let decisions: Vec<_> = (0..3).map(|_| decide(&mut ledger, now)).collect();
+    assert_eq!(decisions[..2], [AT_ONCE; 2]);
+    assert_ne!(decisions[2], AT_ONCE);
+}
