Let no timeout end the endless heads in the tests that expect another end

Change: both tests use the timeout of the tests. A server that is not left still fails them. The heads must now fail as 502 each; 504 was accepted before.

--- a/crates/proxy/tests/all/endless.rs
+++ b/crates/proxy/tests/all/endless.rs
@@ -29,6 +29,8 @@
 
 #[tokio::test]
 async fn endless_heads_fail_unrepeatable_requests_and_close_the_connection() {
+    // The head itself fails the request, not the timeout, which on a busy machine may pass before the
+    // request is sent.
     for (head, rest) in [
         ("HTTP/1.1 200 OK\r\nx-a: ", "aaaaaaaaaaaaaaaa"),
         ("HTTP/1.1 200 OK\r\n", "x-a: b\r\n"),
@@ -37,13 +39,12 @@
         ("", "no http at all "),
     ] {
         let server = ScriptedServer::start(endless(head, rest)).await;
-        let proxy = fixture::start_host_proxy(&[server.address], TIMEOUT).await;
+        let proxy = fixture::start_host_proxy(&[server.address], fixture::TEST_TIMEOUT).await;
 
         let answer = fixture::send(proxy.address, fixture::host_request("POST", "/orders/1")).await;
 
         wait_until_closed(&server).await;
-        let unknown = [StatusCode::BAD_GATEWAY, StatusCode::GATEWAY_TIMEOUT];
-        assert!(unknown.contains(&answer.status), "{head:?}: {answer:?}");
+        assert_eq!(answer.status, StatusCode::BAD_GATEWAY, "{head:?}");
         assert!(server.written_bytes() < MAX_READ_BYTES, "{head:?}");
         assert_eq!(server.heads(), 1, "{head:?}");
     }
@@ -73,7 +74,8 @@
         ),
     ];
     let healthy = ScriptedServer::start(healthy).await;
-    let proxy = fixture::start_host_proxy(&[garbage.address, healthy.address], TIMEOUT).await;
+    let addresses = [garbage.address, healthy.address];
+    let proxy = fixture::start_host_proxy(&addresses, fixture::TEST_TIMEOUT).await;
 
     for number in 0..4 {
         let path = format!("/items/{number}");
