--- a/crates/proxy/src/common.rs
+++ b/crates/proxy/src/common.rs
@@ -104,9 +104,9 @@
             default_organisation: DEFAULT_ORGANISATION
                 .parse()
                 .expect("constant is a valid name"),
-            metrics: parts.metrics,
             response_sizes: response_sizes::ResponseSizes::default(),
-            bodies: memory::Bound::new(parts.max_body_bytes),
+            bodies: memory::Bound::new(parts.max_body_bytes, parts.metrics.held_body_bytes.clone()),
+            metrics: parts.metrics,
             log_limiter: log_limiter::LogLimiter::default(),
             clock: clock::Clock::new(),
             decisions: decision::Ring::default(),
--- a/crates/proxy/src/memory.rs
+++ b/crates/proxy/src/memory.rs
@@ -5,10 +5,10 @@
 //! their requests have run, and count towards the bound until their callers have read them.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use http::StatusCode;
+use prometheus::IntGauge;
 
 use crate::problem;
 
@@ -25,7 +25,7 @@
 #[derive(Debug)]
 pub struct Bound {
     max_bytes: u64,
-    held_bytes: AtomicU64,
+    held_bytes: IntGauge,
 }
 
 /// Bytes that count towards a bound until they are dropped.
@@ -35,18 +35,22 @@
     bytes: u64,
 }
 
+fn gauge_value(bytes: u64) -> i64 {
+    i64::try_from(bytes).unwrap_or(i64::MAX)
+}
+
 impl Bound {
-    /// Creates a bound of `max_bytes`.
-    pub fn new(max_bytes: u64) -> Arc<Self> {
+    /// Creates a bound of `max_bytes`, whose held bytes are shown by a gauge.
+    pub fn new(max_bytes: u64, held_bytes: IntGauge) -> Arc<Self> {
         Arc::new(Self {
             max_bytes,
-            held_bytes: AtomicU64::new(0),
+            held_bytes,
         })
     }
 
     /// Bytes held at present.
     pub fn held_bytes(&self) -> u64 {
-        self.held_bytes.load(Ordering::Relaxed)
+        u64::try_from(self.held_bytes.get()).unwrap_or(0)
     }
 
     /// Reserves bytes of a request's body.
@@ -70,7 +74,7 @@
 
     /// Counts bytes that cannot be refused.
     pub fn hold(self: &Arc<Self>, bytes: u64) -> Reservation {
-        self.held_bytes.fetch_add(bytes, Ordering::Relaxed);
+        self.held_bytes.add(gauge_value(bytes));
         Reservation {
             bound: self.clone(),
             bytes,
@@ -93,8 +97,6 @@
 
 impl Drop for Reservation {
     fn drop(&mut self) {
-        self.bound
-            .held_bytes
-            .fetch_sub(self.bytes, Ordering::Relaxed);
+        self.bound.held_bytes.sub(gauge_value(self.bytes));
     }
 }
--- a/crates/proxy/src/metrics.rs
+++ b/crates/proxy/src/metrics.rs
@@ -3,7 +3,7 @@
 //! Label values are configured services and enum names, never text from callers, so that their
 //! number is bounded.
 
-use monsooncart_policy::outcome;
+use monsooncart_policy::{allowance, outcome};
 use monsooncart_types::id;
 use prometheus::{
     Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
@@ -26,6 +26,10 @@
     pub received_for_relay: IntCounter,
     /// Requests rejected before their service was resolved, by status.
     pub rejections: IntCounterVec,
+    /// Requests of organisations with an allowance, by decision.
+    allowance_decisions: IntCounterVec,
+    /// Bytes of bodies that are held for callers and servers.
+    pub held_body_bytes: IntGauge,
     pub in_flight: IntGauge,
     /// Requests waiting for a server.
     pub queued: IntGauge,
@@ -120,6 +124,15 @@
                 "Requests refused before a server was sought, by status.",
                 &["status"],
             )?,
+            allowance_decisions: counters(
+                "monsooncart_allowance_decisions_total",
+                "Requests of organisations with an allowance, by decision.",
+                &["decision"],
+            )?,
+            held_body_bytes: gauge(
+                "monsooncart_held_body_bytes",
+                "Bytes of bodies that are held for callers and servers.",
+            )?,
             in_flight: gauge(
                 "monsooncart_requests_in_flight",
                 "Requests that did not end yet.",
@@ -159,6 +172,17 @@
             .observe(seconds);
     }
 
+    /// Counts the final decision about a request of an organisation with an allowance.
+    pub fn count_allowance_decision(&self, decision: allowance::Decision) {
+        let label = match decision {
+            allowance::Decision::Admit { after } if after.is_zero() => "admitted",
+            allowance::Decision::Admit { .. } => "delayed",
+            allowance::Decision::Undecided => "undecided",
+            allowance::Decision::Refuse { .. } => "refused",
+        };
+        self.allowance_decisions.with_label_values(&[label]).inc();
+    }
+
     /// Counts a lost path to the servers of a service.
     pub fn count_lost_path(&self, service: &id::Service) {
         self.paths_lost.with_label_values(&[service.as_str()]).inc();
--- a/crates/proxy/src/permit.rs
+++ b/crates/proxy/src/permit.rs
@@ -9,7 +9,7 @@
 use monsooncart_types::id;
 use tokio::time::{Instant, sleep};
 
-use crate::{interface, problem};
+use crate::{common, interface, problem};
 
 /// Time after which an undecided request is decided again.
 const UNDECIDED_INTERVAL: Duration = Duration::from_millis(25);
@@ -34,7 +34,7 @@
     ///
     /// The response to a request beyond the allowance.
     pub async fn obtain(
-        fleet: &Arc<dyn interface::Fleet>,
+        common: &common::Common,
         organisation: &id::Organisation,
         allowance: &access::Allowance,
         deadline: Instant,
@@ -48,30 +48,30 @@
             let status = StatusCode::TOO_MANY_REQUESTS;
             problem::Problem::not_run(status, "allowance-used", detail).retry_after(retry_after)
         };
-        let mut is_first = true;
-        loop {
-            match fleet.admit(organisation, allowance, is_first) {
-                allowance::Decision::Admit { after } => {
-                    let permit = Self {
-                        fleet: fleet.clone(),
-                        organisation: organisation.clone(),
-                        is_spent: false,
-                    };
-                    if Instant::now() + after >= deadline {
-                        return Err(exceeded(after));
-                    }
-                    if !after.is_zero() {
-                        sleep(after).await;
-                    }
-                    return Ok(permit);
+        let fleet = &common.fleet;
+        let mut decision = fleet.admit(organisation, allowance, true);
+        while decision == allowance::Decision::Undecided && Instant::now() < give_up_at {
+            sleep(UNDECIDED_INTERVAL).await;
+            decision = fleet.admit(organisation, allowance, false);
+        }
+        common.metrics.count_allowance_decision(decision);
+        match decision {
+            allowance::Decision::Admit { after } => {
+                let permit = Self {
+                    fleet: fleet.clone(),
+                    organisation: organisation.clone(),
+                    is_spent: false,
+                };
+                if Instant::now() + after >= deadline {
+                    return Err(exceeded(after));
                 }
-                allowance::Decision::Undecided if Instant::now() < give_up_at => {
-                    sleep(UNDECIDED_INTERVAL).await;
+                if !after.is_zero() {
+                    sleep(after).await;
                 }
-                allowance::Decision::Undecided => return Err(exceeded(UNDECIDED_RETRY_AFTER)),
-                allowance::Decision::Refuse { retry_after } => return Err(exceeded(retry_after)),
+                Ok(permit)
             }
-            is_first = false;
+            allowance::Decision::Undecided => Err(exceeded(UNDECIDED_RETRY_AFTER)),
+            allowance::Decision::Refuse { retry_after } => Err(exceeded(retry_after)),
         }
     }
 
--- a/crates/proxy/src/request.rs
+++ b/crates/proxy/src/request.rs
@@ -255,9 +255,9 @@
         let Some((organisation, allowance)) = organisation.zip(allowance) else {
             return Ok(None);
         };
-        let fleet = &self.shared.common.fleet;
+        let common = &self.shared.common;
         let name = &organisation.name;
-        let permit = permit::Permit::obtain(fleet, name, allowance, options.deadline).await?;
+        let permit = permit::Permit::obtain(common, name, allowance, options.deadline).await?;
         Ok(Some(permit))
     }
 
--- a/crates/proxy/tests/all/accounts.rs
+++ b/crates/proxy/tests/all/accounts.rs
@@ -1,7 +1,6 @@
 //! Every request is recorded once, when it has completed.
 
 use monsooncart_policy::{handle, outcome};
-use prometheus::Encoder as _;
 
 use crate::fixture;
 
@@ -58,12 +57,7 @@
     let trace = proxy.engine.trace(request).unwrap();
     let outcomes: Vec<_> = trace.attempts.iter().map(|a| a.end.as_str()).collect();
     assert_eq!(outcomes, ["unsent", "answered"]);
-    let mut text = Vec::new();
-    let families = proxy.registry.gather();
-    prometheus::TextEncoder::new()
-        .encode(&families, &mut text)
-        .unwrap();
-    let text = String::from_utf8(text).unwrap();
+    let text = proxy.metrics();
     let line = "monsooncart_requests_total{outcome=\"answered\",service=\"wiredesk\"} 1";
     assert!(text.contains(line), "{text}");
 }
--- a/crates/proxy/tests/all/allowances.rs
+++ b/crates/proxy/tests/all/allowances.rs
@@ -54,6 +54,8 @@
     assert_eq!(response.header("retry-after"), "2");
     assert_eq!(response.header("monsooncart-outcome"), "not-run");
     assert_eq!(server.heads(), 0);
+    let line = "monsooncart_allowance_decisions_total{decision=\"refused\"} 1";
+    assert!(proxy.metrics().contains(line));
 }
 
 /// Guards against callers within their allowance that are refused while a token is on its way.
@@ -72,6 +74,8 @@
     assert!(sent_at.elapsed() >= after);
     assert_eq!(proxy.fakes.fleet.admitted().len(), 1);
     assert!(proxy.fakes.fleet.refunded().is_empty());
+    let line = "monsooncart_allowance_decisions_total{decision=\"delayed\"} 1";
+    assert!(proxy.metrics().contains(line));
 }
 
 /// Guards against an allowance that is spent by requests which have not run, and against one that is
--- a/crates/proxy/tests/all/fixture.rs
+++ b/crates/proxy/tests/all/fixture.rs
@@ -376,6 +376,13 @@
 }
 
 impl Proxy {
+    /// The metrics as an operator reads them.
+    pub fn metrics(&self) -> String {
+        let families = self.registry.gather();
+        let encoder = prometheus::TextEncoder::new();
+        encoder.encode_to_string(&families).unwrap()
+    }
+
     /// Configures the next version of the routing, with this access.
     pub fn set_access(&self, access: access::Access) {
         let snapshot = self.engine.snapshot();
--- a/crates/proxy/tests/all/memory_bound.rs
+++ b/crates/proxy/tests/all/memory_bound.rs
@@ -37,6 +37,9 @@
     })
     .await;
 
+    let held_line = format!("monsooncart_held_body_bytes {BODY_BYTES}\n");
+    assert!(proxy.metrics().contains(&held_line));
+
     let refused = fixture::send(address, upload(BODY_BYTES)).await;
     let small = tokio::spawn(fixture::try_send(address, upload(100)));
 
