explain route: refuse organisations and hosts that do not exist

A mistyped organisation was explained as if none had been given, with the route's priority; a malformed one was dropped by the daemon; a URL in place of a host gave "no route".

Change: an organisation that no responding daemon has ends with an error; a daemon that lacks it while others have it says so; the admin listener answers 400 to a malformed name; host names are checked.

--- a/crates/daemon/src/admin.rs
+++ b/crates/daemon/src/admin.rs
@@ -226,7 +226,14 @@
     else {
         return text(http::StatusCode::BAD_REQUEST, "host or path is missing\n");
     };
-    let organisation = query.get::<id::Organisation>("organisation");
+    let organisation = query.get::<String>("organisation");
+    let organisation = organisation.map(|name| name.parse::<id::Organisation>());
+    let Ok(organisation) = organisation.transpose() else {
+        return text(
+            http::StatusCode::BAD_REQUEST,
+            "organisation is not a name\n",
+        );
+    };
     let proxy = engine.core().proxy();
     match proxy.and_then(|p| p.explain_route(&host, &path, organisation.as_ref())) {
         Some(route) => json(&route),
--- a/src/commands/explain/route.rs
+++ b/src/commands/explain/route.rs
@@ -13,6 +13,7 @@
 #[derive(Args, Debug)]
 pub struct Arguments {
     /// Host of the request.
+    #[arg(value_parser = parse_host)]
     host: String,
     /// Path of the request, which begins with a slash.
     #[arg(value_parser = parse_path)]
@@ -24,9 +25,20 @@
     source: Source,
 }
 
+/// Characters that end a host or a path in a URL, or part a query.
+const DELIMITERS: [char; 3] = ['&', '?', '#'];
+
+fn parse_host(text: &str) -> Result<String, String> {
+    let is_valid = !text.is_empty() && text.bytes().all(|b| b.is_ascii_graphic());
+    match is_valid && !text.contains('/') && !text.contains(DELIMITERS) {
+        true => Ok(text.to_owned()),
+        false => Err("expected a host name, without a scheme or path".to_owned()),
+    }
+}
+
 fn parse_path(text: &str) -> Result<String, String> {
     let is_valid = text.starts_with('/') && text.bytes().all(|b| b.is_ascii_graphic());
-    match is_valid && !text.contains(['&', '?', '#']) {
+    match is_valid && !text.contains(DELIMITERS) {
         true => Ok(text.to_owned()),
         false => Err("expected a path that begins with a slash, without a query".to_owned()),
     }
@@ -62,17 +74,26 @@
             ));
             return exit::Code::Failure;
         }
+        if let Some(organisation) = &organisation
+            && routes.values().all(|route| route.organisation.is_none())
+        {
+            output::error(format_args!(
+                "explain: no responding daemon has an organisation {organisation}; expected one \
+                 with keys in the configuration"
+            ));
+            return exit::Code::Failure;
+        }
         if source.json {
             return print_json(&routes);
         }
         for (vm, route) in &routes {
-            print(vm, route);
+            print(vm, route, organisation.as_ref());
         }
         exit::Code::Success
     }
 }
 
-fn print(vm: &str, route: &responses::Route) {
+fn print(vm: &str, route: &responses::Route, organisation: Option<&id::Organisation>) {
     let kind = if route.repeatable {
         "repeatable"
     } else {
@@ -91,6 +112,10 @@
             "  organisation {}: this daemon has {share} of its allowance",
             organisation.name
         ));
+    } else if let Some(organisation) = organisation {
+        output::line(format_args!(
+            "  organisation {organisation}: unknown to this daemon, which answers its keys with 401"
+        ));
     }
     for service in &route.services {
         print_service(service);
--- a/tests/all/gateway/organisations.rs
+++ b/tests/all/gateway/organisations.rs
@@ -125,7 +125,8 @@
     assert!(admitted > 0);
 }
 
-/// Guards against an explanation that differs from what the daemon would do, or sends the request.
+/// Guards against an explanation that differs from what the daemon would do, or sends the request, and
+/// against a mistyped organisation or host that is explained as if it were none.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_route_is_explained_without_sending_a_request() {
     let gateway = Gateway::start(2, 2).await;
@@ -149,6 +150,11 @@
         &admin,
     ];
     let (unknown_code, _, unknown_error) = process::run_to_exit(&process::monsooncart(), &unknown);
+    let options = ["--organisation", "nobody", "--admin", &admin];
+    let nobody: Vec<_> = route.iter().chain(&options).copied().collect();
+    let (nobody_code, _, nobody_error) = process::run_to_exit(&process::monsooncart(), &nobody);
+    let url = ["explain", "route", "https://a.example", "/buy/x"];
+    let (url_code, _, url_error) = process::run_to_exit(&process::monsooncart(), &url);
 
     assert_eq!(code, Some(0), "{error}");
     let explained: Value = serde_json::from_str(&out).expect("output is JSON");
@@ -162,5 +168,12 @@
     assert_eq!(explanation["candidates"].as_array().map(Vec::len), Some(2));
     assert_eq!(unknown_code, Some(1));
     assert!(unknown_error.contains("/none/x"), "{unknown_error}");
+    assert_eq!(nobody_code, Some(1));
+    assert!(
+        nobody_error.contains("organisation nobody"),
+        "{nobody_error}"
+    );
+    assert_eq!(url_code, Some(2));
+    assert!(url_error.contains("expected a host name"), "{url_error}");
     assert_eq!(gateway.executions_by(0) + gateway.executions_by(1), before);
 }
