--- a/crates/policy/tests/balancer/simulation.rs
+++ b/crates/policy/tests/balancer/simulation.rs
@@ -6,6 +6,7 @@
 //! attempts than slots.
 
 mod plan;
+mod scheduled;
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap};
@@ -20,6 +21,7 @@
 use crate::fixture;
 
 pub use plan::{Mode, Outcome, Plan, plan, seeds};
+use scheduled::{Finish, Scheduled, Verdict};
 
 const TICK_INTERVAL: Duration = Duration::from_millis(50);
 const LEDGER_DELAY: Duration = Duration::from_millis(10);
@@ -28,32 +30,6 @@
 /// Time to the response head above which a request counts as harmed.
 const LATE_AFTER: Duration = Duration::from_millis(1000);
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum Scheduled {
-    Tick,
-    Arrival,
-    Fault(usize),
-    Join(usize),
-    Head(u64, u16),
-    Finish(u64, Finish),
-    Ledger(u32, Verdict),
-}
-
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum Finish {
-    Answered(u16),
-    Timeout,
-    Cancelled,
-    Shed,
-}
-
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum Verdict {
-    Granted,
-    Denied,
-    Restored,
-}
-
 struct Server {
     mode: Mode,
     mode_set_at: time::Time,
