--- a/crates/policy/tests/selector/main.rs
+++ b/crates/policy/tests/selector/main.rs
@@ -14,3 +14,4 @@
 mod rate_limit;
 mod report;
 mod retry_after;
+mod retry_fleet;
