--- a/crates/cluster/src/spread/watch.rs
+++ b/crates/cluster/src/spread/watch.rs
@@ -113,6 +113,7 @@
                 tokio::time::sleep(SELECTION_POLL_INTERVAL).await;
                 continue;
             }
+            self.log_selection();
             match self.watch().await {
                 Ok(()) => must_read_first = false,
                 Err(error) => {
@@ -126,6 +127,13 @@
         }
     }
 
+    /// Logs how old the latest known answer of the platform is, which shows why this daemon watches.
+    fn log_selection(&self) {
+        let age_millis = self.shared.freshness.age_millis();
+        let members = self.shared.members.load().len();
+        log::info!(prefix = self.prefix, age_millis:?, members; "config: selected as watcher");
+    }
+
     async fn back_off(&mut self) {
         let jitter = rand::rng().random_range(1.0..2.0);
         let doublings = self.failures.saturating_sub(1).min(MAX_BACKOFF_DOUBLINGS);
--- a/crates/policy/src/action.rs
+++ b/crates/policy/src/action.rs
@@ -8,7 +8,9 @@
 
 /// State of a server that its selection for an attempt was based on.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, derive_more::Display)]
-#[display("risk={risk}/1000,evidence={evidence_age_millis}ms,load={load}/{slots}")]
+#[display(
+    "risk={risk}/1000,evidence={evidence_age_millis}ms,load={load}/{slots},daemons={daemons}"
+)]
 pub struct Grounds {
     /// Probability that the attempt fails, in thousandths; 0 if the policy estimates none.
     pub risk: u32,
@@ -18,6 +20,8 @@
     pub load: u32,
     /// Number of requests that the server processes concurrently.
     pub slots: u32,
+    /// Number of daemons among which the slack of the retry budget is divided; 0 if it is not.
+    pub daemons: u32,
 }
 
 /// A change of the reported state of a server.
--- a/crates/policy/src/selector.rs
+++ b/crates/policy/src/selector.rs
@@ -328,6 +328,7 @@
         index: usize,
         actions: &mut Vec<action::Action>,
     ) {
+        let daemons = self.daemon_count();
         let Some(pending) = self.requests.get_mut(&request) else {
             return;
         };
@@ -336,7 +337,10 @@
         self.queue.record_sent(now);
         let target = &mut self.servers[index];
         let server = target.spec.handle;
-        let grounds = target.grounds(now);
+        let grounds = action::Grounds {
+            daemons,
+            ..target.grounds(now)
+        };
         let unqueued = grounds.load < grounds.slots;
         target.record_sent(now);
         pending.attempts.push(attempt);
--- a/crates/policy/src/selector/server.rs
+++ b/crates/policy/src/selector/server.rs
@@ -411,6 +411,7 @@
             evidence_age_millis: u64::try_from(age).unwrap_or(u64::MAX),
             load: self.load(now),
             slots: self.spec.slots,
+            ..action::Grounds::default()
         }
     }
 
--- a/crates/policy/tests/selector/retry_fleet.rs
+++ b/crates/policy/tests/selector/retry_fleet.rs
@@ -66,7 +66,7 @@
             requests: Vec::new(),
             retries: Vec::new(),
         };
-        fleet.set_entries((0..count).collect());
+        fleet.set_entries(&(0..count).collect::<Vec<_>>());
         fleet
     }
 
@@ -82,9 +82,9 @@
     }
 
     /// Lets all daemons know these as those of the entry sets.
-    fn set_entries(&mut self, entries: Vec<usize>) {
+    fn set_entries(&mut self, entries: &[usize]) {
         for daemon in 0..self.daemons.len() {
-            self.set_known(daemon, &entries);
+            self.set_known(daemon, entries);
         }
     }
 
@@ -192,7 +192,7 @@
 
     for turn in 0..12 {
         let entries: Vec<usize> = (turn * 3..turn * 3 + 3).collect();
-        fleet.set_entries(entries.clone());
+        fleet.set_entries(&entries);
         fleet.run(&entries, Duration::from_secs(1));
     }
 
@@ -204,7 +204,7 @@
 #[test]
 fn daemons_outside_the_entry_sets_stay_within_the_retry_budget() {
     let mut fleet = Fleet::new(36);
-    fleet.set_entries(vec![0, 1, 2]);
+    fleet.set_entries(&[0, 1, 2]);
 
     fleet.run(&(0..36).collect::<Vec<_>>(), Duration::from_secs(5));
 
