Earn the slack of the retry budget over time, and divide it by the daemons known lately

What callers saw: servers in need received more repeated requests than the budget allows, so queues grew.

Cause: each daemon took 0.4 of the slack, divided by the number of daemons in the entry sets that it knew at that moment, in each window, from its first moment on. A daemon that was cut off divided by fewer and fewer; one that restarted, entered the sets or was outside of them had the same part again. The class of fault: a permission that is derived from what a process knows now, without regard to what it, its previous run or others have used under another view.

Change: the slack is a flow. A daemon of the entry sets earns its part over the window, holds at most one window's worth, and starts with nothing when it starts or enters the sets; outside of them it has only the share of its own requests. It divides by the most daemons that it knew in the last minute, and by those that the settings name at least. The sum is bounded by what was held at the start of a window and earned in it, 0.8 of the slack, whoever restarts or takes turns. In a calm fleet the sustained and the largest part stay as they were.

Evidence: four tests of selector::retry_fleet failed before (662 retries too many in 10 s for cut-off daemons) and pass.

--- a/crates/daemon/src/components.rs
+++ b/crates/daemon/src/components.rs
@@ -109,7 +109,7 @@
         let default_policies: Arc<dyn interface::Policies> = match &self.core.settings.gateway {
             Some(gateway) => Arc::new(policies::Selector {
                 instance: self.core.instance,
-                retries: gateway::retry_limits(gateway),
+                retries: gateway::retry_limits(&self.core.settings, gateway),
                 covers_servers: gateway.cover_servers,
                 waits: gateway.wait_for_room,
             }),
--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -16,6 +16,7 @@
 pub mod evidence;
 pub mod paths;
 
+use std::collections::BTreeSet;
 use std::net;
 use std::sync::Arc;
 use std::time::Duration;
@@ -142,13 +143,18 @@
     })
 }
 
-/// Retry budget of a service.
+/// Retry budget of a service. The daemon and the seeds at other addresses are daemons that there are
+/// at least.
 #[must_use]
-pub fn retry_limits(gateway: &settings::Gateway) -> budget::Limits {
+pub fn retry_limits(settings: &settings::Settings, gateway: &settings::Gateway) -> budget::Limits {
+    let own = settings.peers.ip();
+    let seeds: BTreeSet<_> = settings.seeds.iter().map(net::SocketAddr::ip).collect();
+    let others = seeds.iter().filter(|seed| **seed != own).count();
     budget::Limits {
         share: gateway.retries.share,
         slack: gateway.retries.slack,
         window: gateway.retries.window.0,
+        min_daemons: u32::try_from(others + 1).unwrap_or(u32::MAX),
     }
 }
 
--- a/crates/policy/src/selector.rs
+++ b/crates/policy/src/selector.rs
@@ -203,6 +203,9 @@
     fn apply_inventory(&mut self, now: time::Time, inventory: inventory::Inventory) {
         self.latency_objective = inventory.latency_objective;
         self.fleet.daemons = inventory.daemons;
+        let is_member = self.fleet.daemons.is_empty() || self.fleet.is_member();
+        let daemons = self.daemon_count();
+        self.budget.set_daemons(now, daemons, is_member);
         self.fleet.unix_origin = inventory.unix_origin;
         self.relays.configure(inventory.relays);
         let mut old: map::Map<_, _> = self
@@ -328,7 +331,7 @@
         index: usize,
         actions: &mut Vec<action::Action>,
     ) {
-        let daemons = self.daemon_count();
+        let daemons = self.budget.divisor();
         let Some(pending) = self.requests.get_mut(&request) else {
             return;
         };
--- a/crates/policy/src/selector/admission.rs
+++ b/crates/policy/src/selector/admission.rs
@@ -27,8 +27,19 @@
     /// Whether the budget permits another retry. Where requests wait for room, those that are less urgent
     /// than others leave a part of the budget to them.
     pub(super) fn allows_retry(&mut self, now: time::Time, priority: u32) -> bool {
-        let priority = if self.waits { priority } else { 0 };
-        self.budget.allows_retry(now, self.daemon_count(), priority)
+        let priority = self.retry_priority(priority);
+        self.budget.allows_retry(now, priority)
+    }
+
+    /// Counts a retry that the budget permitted.
+    pub(super) fn record_retry(&mut self, now: time::Time, priority: u32) {
+        let priority = self.retry_priority(priority);
+        self.budget.record_retry(now, priority);
+    }
+
+    /// Priority of a retry; all are equal where requests do not wait.
+    fn retry_priority(&self, priority: u32) -> u32 {
+        if self.waits { priority } else { 0 }
     }
 
     /// Expected time of a request at a server: the work of its route, and the time that requests spend
@@ -91,12 +102,10 @@
         }
         while let Some((request, target)) = self.next_from_queue(now) {
             self.queue.take(request);
-            let is_retry = self
-                .requests
-                .get(&request)
-                .is_some_and(|pending| !pending.tried_servers.is_empty());
-            if is_retry {
-                self.budget.record_retry(now);
+            let pending = self.requests.get(&request);
+            if let Some(retried) = pending.filter(|p| !p.tried_servers.is_empty()) {
+                let priority = retried.arrival.priority;
+                self.record_retry(now, priority);
             }
             self.send_to(now, request, target, actions);
         }
--- a/crates/policy/src/selector/budget.rs
+++ b/crates/policy/src/selector/budget.rs
@@ -1,7 +1,13 @@
 //! Retry budget: bounds the load that retries and hedges add to a service.
 //!
-//! The bound holds for all daemons together: each may use the share of its own requests and an
-//! equal part of the slack. Requests and retries are counted over a sliding window, in slices.
+//! The bound holds for all daemons together. Each may use the share of its own requests, counted over
+//! a sliding window in slices; what exceeds it draws on the daemon's part of the slack.
+//!
+//! The slack is a flow: each daemon of the entry sets earns an equal part of it over time, keeps at
+//! most what it earns in one window, and loses that when it leaves the sets or restarts. What all
+//! daemons spend in a window is therefore bounded by what they held and what they earned, however
+//! often daemons restart or replace each other. A daemon that loses sight of others goes on to divide
+//! by their number, as they may be there and spend their parts.
 //!
 //! While more attempts fail than may be retried, the retries go to what is most urgent.
 
@@ -20,10 +26,13 @@
 /// receive them.
 const SHARE_FRACTION: f64 = 0.8;
 
-/// Fraction of the slack that is used: a restarted daemon does not know the retries of its previous
-/// run, and all daemons may restart within one window.
+/// Fraction of the slack that all daemons together earn in one window. In any window they spend at most
+/// twice that: what they held at its start and what they earned in it.
 const SLACK_FRACTION: f64 = 0.4;
 
+/// Time for which the slack is still divided among daemons that are out of sight.
+const OUT_OF_SIGHT_RETENTION: Duration = Duration::from_secs(60);
+
 /// Bound on the retries of all daemons together.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Limits {
@@ -33,6 +42,8 @@
     pub slack: f64,
     /// Length of the sliding window.
     pub window: Duration,
+    /// Number of daemons that there are at least, whether or not they are known.
+    pub min_daemons: u32,
 }
 
 impl Default for Limits {
@@ -41,15 +52,26 @@
             share: 0.1,
             slack: 10.0,
             window: Duration::from_secs(10),
+            min_daemons: 1,
         }
     }
 }
 
+/// What a retry draws on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Source {
+    /// The share of this daemon's requests.
+    Share,
+    /// This daemon's part of the slack.
+    Slack,
+}
+
 /// Counts of one slice of the window.
 #[derive(Clone, Copy, Debug)]
 struct Slice {
     number: u64,
     requests: u32,
+    /// Retries that drew on the share.
     retries: u32,
     /// Highest priority of a retry that was denied; 0 is the highest.
     denied: u32,
@@ -60,16 +82,58 @@
 pub struct Budget {
     limits: Limits,
     slices: VecDeque<Slice>,
+    /// Number of retries that the slack permits now.
+    held_slack: f64,
+    earned_until: time::Time,
+    /// Whether this daemon is in the entry sets.
+    earns: bool,
+    /// Number of daemons that are known.
+    known: u32,
+    /// Number of daemons among which the slack is divided.
+    divisor: u32,
+    /// When so many daemons were last known.
+    divisor_known_at: time::Time,
 }
 
 impl Budget {
-    /// Creates a budget without requests and retries.
+    /// Creates a budget without requests and retries, of a daemon that has just started and knows no
+    /// other.
     #[must_use]
     pub fn new(limits: Limits) -> Self {
         Self {
             limits,
             slices: VecDeque::new(),
+            held_slack: 0.0,
+            earned_until: time::Time::ZERO,
+            earns: true,
+            known: limits.min_daemons.max(1),
+            divisor: limits.min_daemons.max(1),
+            divisor_known_at: time::Time::ZERO,
+        }
+    }
+
+    /// Applies the number of daemons in the entry sets, and whether this one is among them.
+    pub fn set_daemons(&mut self, now: time::Time, daemons: u32, is_member: bool) {
+        self.earn_slack(now);
+        if self.known == self.divisor {
+            self.divisor_known_at = now;
+        }
+        self.known = daemons.max(self.limits.min_daemons).max(1);
+        let is_outdated = now.since(self.divisor_known_at) >= OUT_OF_SIGHT_RETENTION;
+        if self.known > self.divisor || is_outdated {
+            self.divisor = self.known;
         }
+        self.earns = is_member;
+        self.held_slack = match is_member {
+            true => self.held_slack.min(self.slack_per_window()),
+            false => 0.0,
+        };
+    }
+
+    /// Number of daemons among which the slack is divided.
+    #[must_use]
+    pub fn divisor(&self) -> u32 {
+        self.divisor
     }
 
     /// Counts a new request.
@@ -77,30 +141,58 @@
         self.current_slice(now).requests += 1;
     }
 
-    /// Counts a retry or hedge.
-    pub fn record_retry(&mut self, now: time::Time) {
-        self.current_slice(now).retries += 1;
+    /// Returns whether another retry keeps the bound. After a retry was denied, less urgent requests
+    /// leave a part of the budget to those that are as urgent.
+    pub fn allows_retry(&mut self, now: time::Time, priority: u32) -> bool {
+        let is_allowed = self.source(now, priority).is_some();
+        if !is_allowed {
+            let slice = self.current_slice(now);
+            slice.denied = slice.denied.min(priority);
+        }
+        is_allowed
+    }
+
+    /// Counts a retry or hedge that was allowed.
+    pub fn record_retry(&mut self, now: time::Time, priority: u32) {
+        match self.source(now, priority) {
+            Some(Source::Slack) => self.held_slack -= 1.0,
+            Some(Source::Share) | None => self.current_slice(now).retries += 1,
+        }
     }
 
-    /// Returns whether another retry keeps the bound, given that `daemons` share the slack. After a
-    /// retry was denied, less urgent requests leave a part of the budget to those that are as urgent.
-    pub fn allows_retry(&mut self, now: time::Time, daemons: u32, priority: u32) -> bool {
+    /// What the next retry draws on; `None` if it would exceed the bound.
+    fn source(&mut self, now: time::Time, priority: u32) -> Option<Source> {
         self.current_slice(now);
+        self.earn_slack(now);
         let requests: u32 = self.slices.iter().map(|s| s.requests).sum();
         let retries: u32 = self.slices.iter().map(|s| s.retries).sum();
-        let slack = SLACK_FRACTION * self.limits.slack / f64::from(daemons.max(1));
-        let share = SHARE_FRACTION * self.limits.share * f64::from(requests);
         let denied = self.slices.iter().map(|s| s.denied).min();
-        let usable = match denied.is_some_and(|denied| denied < priority) {
-            true => 1.0 - URGENT_SHARE,
-            false => 1.0,
+        let reserve = match denied.is_some_and(|denied| denied < priority) {
+            true => URGENT_SHARE,
+            false => 0.0,
         };
-        let is_allowed = f64::from(retries + 1) <= (share + slack) * usable;
-        if !is_allowed {
-            let slice = self.current_slice(now);
-            slice.denied = slice.denied.min(priority);
+        let share = SHARE_FRACTION * self.limits.share * f64::from(requests);
+        if f64::from(retries + 1) <= share * (1.0 - reserve) {
+            return Some(Source::Share);
+        }
+        let has_slack = self.held_slack - 1.0 >= self.slack_per_window() * reserve;
+        has_slack.then_some(Source::Slack)
+    }
+
+    /// Part of the slack that this daemon earns in one window, and holds at most.
+    fn slack_per_window(&self) -> f64 {
+        SLACK_FRACTION * self.limits.slack / f64::from(self.divisor)
+    }
+
+    /// Adds the part of the slack that was earned until `now`.
+    fn earn_slack(&mut self, now: time::Time) {
+        let elapsed = now.since(self.earned_until);
+        self.earned_until = now.max(self.earned_until);
+        if self.earns {
+            let per_window = self.slack_per_window();
+            let windows = elapsed.as_secs_f64() / self.limits.window.as_secs_f64().max(0.001);
+            self.held_slack = (self.held_slack + per_window * windows).min(per_window);
         }
-        is_allowed
     }
 
     /// Returns the slice of `now`, after removing those that have left the window.
--- a/crates/policy/src/selector/path_loss.rs
+++ b/crates/policy/src/selector/path_loss.rs
@@ -356,7 +356,7 @@
                 continue;
             }
             if let Some(target @ Target::Relay(_)) = self.select_target(now, &pending) {
-                self.budget.record_retry(now);
+                self.record_retry(now, pending.arrival.priority);
                 self.send_to(now, request, target, actions);
             }
         }
--- a/crates/policy/src/selector/rate_limit.rs
+++ b/crates/policy/src/selector/rate_limit.rs
@@ -39,6 +39,11 @@
 }
 
 impl Fleet {
+    /// Whether this daemon is among those that share the traffic.
+    pub fn is_member(&self) -> bool {
+        self.daemons.contains(&self.own)
+    }
+
     /// Number of the interval at `now`; the same at all daemons.
     fn interval(&self, now: time::Time) -> u64 {
         let unix_time = self.unix_origin + now.since(time::Time::ZERO);
--- a/crates/policy/src/selector/retry.rs
+++ b/crates/policy/src/selector/retry.rs
@@ -42,7 +42,7 @@
         };
         if let Some(target) = target {
             if added_load {
-                self.budget.record_retry(now);
+                self.record_retry(now, arrival.priority);
             }
             self.send_to(now, request, target, actions);
             return;
@@ -99,7 +99,7 @@
             false => self.select_target(now, &pending),
         };
         if let Some(target) = target {
-            self.budget.record_retry(now);
+            self.record_retry(now, pending.arrival.priority);
             self.send_to(now, request, target, actions);
         }
     }
--- a/crates/policy/tests/selector/budget.rs
+++ b/crates/policy/tests/selector/budget.rs
@@ -9,8 +9,19 @@
     share: 0.2,
     slack: 50.0,
     window: Duration::from_secs(10),
+    min_daemons: 1,
 };
 
+/// Time of the first event: the daemons have run for a minute.
+const START: time::Time = time::Time::from_millis(61_000);
+
+/// The budget of one of several daemons that have run for a minute.
+fn budget_among(daemons: u32) -> Budget {
+    let mut budget = Budget::new(LIMITS);
+    budget.set_daemons(time::Time::from_millis(1000), daemons, true);
+    budget
+}
+
 /// Whether the retries of all windows that end at a retry are within the bound.
 fn is_within_bound(requests: &[time::Time], retries: &[time::Time], daemons: f64) -> bool {
     retries.iter().all(|end| {
@@ -27,16 +38,16 @@
         let daemons = 3;
         let mut requests = Vec::new();
         let mut retries = Vec::new();
-        let mut budgets = vec![Budget::new(LIMITS); daemons];
-        let mut now = time::Time::from_millis(1000);
+        let mut budgets = vec![budget_among(3); daemons];
+        let mut now = START;
         for _ in 0..400 {
             now = now + Duration::from_millis(u.int_in_range(0..=120)?);
             let budget = &mut budgets[u.choose_index(daemons)?];
             if u.ratio(1, 2)? {
                 budget.record_request(now);
                 requests.push(now);
-            } else if budget.allows_retry(now, 3, 0) {
-                budget.record_retry(now);
+            } else if budget.allows_retry(now, 0) {
+                budget.record_retry(now, 0);
                 retries.push(now);
             }
         }
@@ -47,13 +58,13 @@
 
 #[test]
 fn daemons_that_all_restart_within_a_window_stay_within_the_bound_together() {
-    let now = time::Time::from_millis(1000);
+    let now = START;
     let mut retries = 0;
     for _runs in 0..2 {
-        let mut budgets = vec![Budget::new(LIMITS); 3];
+        let mut budgets = vec![budget_among(3); 3];
         for budget in &mut budgets {
-            while budget.allows_retry(now, 3, 0) {
-                budget.record_retry(now);
+            while budget.allows_retry(now, 0) {
+                budget.record_retry(now, 0);
                 retries += 1;
             }
         }
@@ -65,14 +76,14 @@
 #[test]
 fn retries_outside_the_window_do_not_count() {
     let mut budget = Budget::new(LIMITS);
-    let start = time::Time::from_millis(1000);
-    while budget.allows_retry(start, 1, 0) {
-        budget.record_retry(start);
+    let start = START;
+    while budget.allows_retry(start, 0) {
+        budget.record_retry(start, 0);
     }
 
     let later = start + LIMITS.window + Duration::from_secs(1);
 
-    assert!(budget.allows_retry(later, 1, 0));
+    assert!(budget.allows_retry(later, 0));
 }
 
 /// Guards against retries of less urgent requests that use up the budget: all servers shed half of the
@@ -80,7 +91,7 @@
 #[test]
 fn while_half_of_the_requests_is_shed_urgent_ones_find_retries_left() {
     let mut budget = Budget::new(LIMITS);
-    let mut now = time::Time::from_millis(1000);
+    let mut now = START;
     let (mut urgent, mut denied) = (0, 0);
 
     for number in 0..20_000_u32 {
@@ -90,8 +101,8 @@
         // Of ten requests the first one and four others are shed.
         let is_shed = number % 10 < 5;
         urgent += u32::from(is_shed && priority == 0);
-        match is_shed && budget.allows_retry(now, 1, priority) {
-            true => budget.record_retry(now),
+        match is_shed && budget.allows_retry(now, priority) {
+            true => budget.record_retry(now, priority),
             false => denied += u32::from(is_shed && priority == 0),
         }
     }
@@ -102,7 +113,7 @@
 /// Guards against a part of the budget that lies idle although nobody lacks it.
 #[test]
 fn less_urgent_requests_use_the_whole_budget_until_an_urgent_one_is_denied() {
-    let now = time::Time::from_millis(1000);
+    let now = START;
     let budget = || {
         let mut budget = Budget::new(LIMITS);
         (0..1000).for_each(|_| budget.record_request(now));
@@ -110,8 +121,8 @@
     };
     let use_up = |budget: &mut Budget, now, priority| {
         let mut retries = 0;
-        while budget.allows_retry(now, 1, priority) {
-            budget.record_retry(now);
+        while budget.allows_retry(now, priority) {
+            budget.record_retry(now, priority);
             retries += 1;
         }
         retries
--- a/crates/policy/tests/selector/fixture.rs
+++ b/crates/policy/tests/selector/fixture.rs
@@ -20,6 +20,7 @@
     share: 0.2,
     slack: 50.0,
     window: Duration::from_secs(10),
+    min_daemons: 1,
 };
 
 /// A selector with a clock that the test advances.
--- a/crates/policy/tests/selector/retry_fleet.rs
+++ b/crates/policy/tests/selector/retry_fleet.rs
@@ -14,6 +14,7 @@
     share: 0.2,
     slack: 180.0,
     window: Duration::from_secs(10),
+    min_daemons: 1,
 };
 
 /// Interval between the requests of one daemon.
@@ -57,16 +58,17 @@
 }
 
 impl Fleet {
-    /// Daemons that have run for a minute and know each other.
+    /// Daemons that have known each other for longer than a minute.
     fn new(count: usize) -> Self {
         let started_at = time::Time::from_millis(1000);
         let mut fleet = Self {
-            now: started_at + Duration::from_secs(60),
+            now: started_at,
             daemons: (0..count).map(|n| start(started_at, n)).collect(),
             requests: Vec::new(),
             retries: Vec::new(),
         };
         fleet.set_entries(&(0..count).collect::<Vec<_>>());
+        fleet.now = started_at + Duration::from_secs(90);
         fleet
     }
 
