Let a daemon start with a small part of the slack

It now holds an eighth of its part of one window, divided anew as it comes to know others. The sum stays under the bound for four restarts of all daemons in a window: 0.8 of the slack and 0.05 each.

--- a/crates/policy/src/selector/budget.rs
+++ b/crates/policy/src/selector/budget.rs
@@ -6,7 +6,7 @@
 //! The slack is a flow: each daemon of the entry sets earns an equal part of it over time, keeps at
 //! most what it earns in one window, and loses that when it leaves the sets or restarts. What all
 //! daemons spend in a window is therefore bounded by what they held and what they earned, however
-//! often daemons restart or replace each other. A daemon that loses sight of others goes on to divide
+//! often daemons replace each other, and by the little with which they start. A daemon that loses sight of others goes on to divide
 //! by their number, as they may be there and spend their parts.
 //!
 //! While more attempts fail than may be retried, the retries go to what is most urgent.
@@ -30,6 +30,10 @@
 /// twice that: what they held at its start and what they earned in it.
 const SLACK_FRACTION: f64 = 0.4;
 
+/// Fraction of its part of one window that a daemon holds when it starts: enough for a first retry in a
+/// small fleet, and for four restarts of all daemons in one window.
+const START_FRACTION: f64 = 0.125;
+
 /// Time for which the slack is still divided among daemons that are out of sight.
 const OUT_OF_SIGHT_RETENTION: Duration = Duration::from_secs(60);
 
@@ -100,7 +104,7 @@
     /// other.
     #[must_use]
     pub fn new(limits: Limits) -> Self {
-        Self {
+        let mut budget = Self {
             limits,
             slices: VecDeque::new(),
             held_slack: 0.0,
@@ -109,7 +113,9 @@
             known: limits.min_daemons.max(1),
             divisor: limits.min_daemons.max(1),
             divisor_known_at: time::Time::ZERO,
-        }
+        };
+        budget.held_slack = START_FRACTION * budget.slack_per_window();
+        budget
     }
 
     /// Applies the number of daemons in the entry sets, and whether this one is among them.
@@ -120,14 +126,16 @@
         }
         self.known = daemons.max(self.limits.min_daemons).max(1);
         let is_outdated = now.since(self.divisor_known_at) >= OUT_OF_SIGHT_RETENTION;
+        if self.known > self.divisor {
+            self.held_slack *= f64::from(self.divisor) / f64::from(self.known);
+        }
         if self.known > self.divisor || is_outdated {
             self.divisor = self.known;
         }
         self.earns = is_member;
-        self.held_slack = match is_member {
-            true => self.held_slack.min(self.slack_per_window()),
-            false => 0.0,
-        };
+        if !is_member {
+            self.held_slack = 0.0;
+        }
     }
 
     /// Number of daemons among which the slack is divided.
