Count a relayed request once for the retry budget

Cause: a relayed request was counted by the daemon that received it and by the relay, so that it paid for 0.32 retries where 0.2 are allowed. Class: the same work counted at two places. selector::retry_fleet::relayed_requests_allow_for_no_more_retries_than_ others failed before and passes.

--- a/crates/policy/src/selector.rs
+++ b/crates/policy/src/selector.rs
@@ -255,7 +255,10 @@
         if self.requests.contains_key(&request) {
             return;
         }
-        self.budget.record_request(now);
+        // The daemon that received a relayed request from its caller counts it.
+        if !arrival.relayed {
+            self.budget.record_request(now);
+        }
         let quarantined = |f| self.poison.quarantined_until(now, f);
         if let Some(expires_at) = arrival.fingerprint.and_then(quarantined) {
             let refusal = outcome::Refusal {
