Ask the next source for the list of parts while one is silent

What callers saw: after VMs were lost, daemons served an older configuration for longer than is allowed (CONFIG).

Cause: a daemon asked its parent in the distribution tree for the list of the parts of a routing and waited for 500 ms before it asked another one. A VM that has lost power is silent, and stays in the tree until it is suspected. Class: the timeout of one silent peer in series with all others.

--- a/crates/cluster/src/spread/fetch.rs
+++ b/crates/cluster/src/spread/fetch.rs
@@ -4,6 +4,8 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use futures_util::FutureExt as _;
+use futures_util::stream::{FuturesUnordered, StreamExt as _};
 use monsooncart_config::object;
 use monsooncart_config::routing::part;
 use monsooncart_policy::rollout::{transfer, tree};
@@ -42,15 +44,30 @@
     let started_at = Instant::now();
     let version = wanted.version;
     let mut transfer = Transfer::new(shared.now(), version, sources(shared, wanted));
+    let mut lists = FuturesUnordered::new();
     while shared.replica.wanted_routing() == Some(wanted) {
         match transfer.next_step(shared.now()) {
             transfer::Step::RequestList { source } => {
-                request(shared, &mut transfer, wanted, source, None).await;
+                transfer.record_list_request(shared.now());
+                lists.push(request(shared, wanted, source, None).map(move |reply| (source, reply)));
             }
             transfer::Step::RequestParts { source, parts } => {
-                request(shared, &mut transfer, wanted, source, Some(parts)).await;
+                lists.clear();
+                let reply = request(shared, wanted, source, Some(parts)).await;
+                let progressed =
+                    reply.is_some_and(|reply| record_reply(shared, &mut transfer, source, reply));
+                transfer.record_reply(shared.now(), progressed);
             }
-            transfer::Step::Wait(until) => sleep_until(shared, until).await,
+            transfer::Step::Wait(until) => tokio::select! {
+                Some((source, reply)) = lists.next(), if !lists.is_empty() => {
+                    let progressed =
+                        reply.is_some_and(|r| record_reply(shared, &mut transfer, source, r));
+                    if !progressed {
+                        transfer.record_list_failure(shared.now());
+                    }
+                }
+                () = sleep_until(shared, until) => {}
+            },
             transfer::Step::Complete => {
                 store(shared, version, started_at);
                 return;
@@ -94,28 +111,26 @@
     sources
 }
 
-/// Makes a request and records its reply.
+/// Requests the list of the parts, or parts; `None` if the source does not reply.
 async fn request(
     shared: &Arc<shared::Shared>,
-    transfer: &mut Transfer,
     wanted: staging::Wanted,
     source: net::SocketAddr,
     parts: Option<Vec<part::Digest>>,
-) {
+) -> Option<configuration::PartsReply> {
     let request = configuration::PartsRequest {
         version: wanted.version,
         holder: wanted.holder,
         parts,
     };
     let client = shared.client(source);
-    let progressed = match client.parts(request, REQUEST_TIMEOUT).await {
-        Ok(reply) => record_reply(shared, transfer, source, reply),
+    match client.parts(request, REQUEST_TIMEOUT).await {
+        Ok(reply) => Some(reply),
         Err(error) => {
             log::info!(version = wanted.version, error:%; "config: request for parts of the routing failed; trying another peer");
-            false
+            None
         }
-    };
-    transfer.record_reply(shared.now(), progressed);
+    }
 }
 
 /// Records a reply; returns whether it brought the manifest or a missing part.
@@ -139,7 +154,7 @@
             && (1..=part::MAX_PARTS).contains(&manifest.manifest.parts.len())
         {
             let missing = staging.begin(&shared.replica.snapshot(), manifest);
-            transfer.record_list(now, missing);
+            transfer.record_list(now, &source, missing);
             progressed = true;
         }
     }
--- a/crates/policy/tests/rollout/transfer.rs
+++ b/crates/policy/tests/rollout/transfer.rs
@@ -16,7 +16,7 @@
 /// Requests the list, of which `missing` parts are missing.
 fn transfer_with(missing: &[u32], sources: &[u32]) -> Transfer<u32, u32> {
     let mut transfer = Transfer::new(at(0), 5, sources.to_vec());
-    transfer.record_list(at(0), missing.iter().copied());
+    transfer.record_list(at(0), &0, missing.iter().copied());
     transfer
 }
 
@@ -25,7 +25,8 @@
     let mut transfer = Transfer::<u32, u32>::new(at(0), 5, vec![1, 2]);
     let first = transfer.next_step(at(0));
 
-    transfer.record_list(at(1), [7, 8]);
+    transfer.record_list_request(at(0));
+    transfer.record_list(at(1), &1, [7, 8]);
 
     assert_eq!(first, Step::RequestList { source: 1 });
     let parts = vec![7, 8];
@@ -35,6 +36,53 @@
     );
 }
 
+/// Guards against a routing that is in force late because the source that is asked first is a lost VM,
+/// which is silent (CONFIG).
+#[test]
+fn a_silent_source_does_not_hold_up_the_list_for_the_timeout_of_a_request() {
+    /// Part of the timeout of a request, which is 500 ms.
+    const LATEST: u64 = 250;
+    let mut transfer = Transfer::<u32, u32>::new(at(0), 5, vec![1, 2, 3]);
+    transfer.record_list_request(at(0));
+
+    let Step::Wait(until) = transfer.next_step(at(1)) else {
+        panic!("does not wait for the first source");
+    };
+
+    assert!(until <= at(LATEST), "{until:?}");
+    assert_eq!(transfer.next_step(until), Step::RequestList { source: 2 });
+}
+
+#[test]
+fn parts_are_requested_from_the_source_that_sent_the_list() {
+    let mut transfer = Transfer::<u32, u32>::new(at(0), 5, vec![1, 2, 3]);
+    transfer.record_list_request(at(0));
+    transfer.record_list_request(at(200));
+
+    transfer.record_list(at(201), &2, [7]);
+
+    let parts = vec![7];
+    assert_eq!(
+        transfer.next_step(at(201)),
+        Step::RequestParts { source: 2, parts }
+    );
+}
+
+#[test]
+fn sources_without_the_list_are_asked_again_after_a_round() {
+    let mut transfer = Transfer::<u32, u32>::new(at(0), 5, vec![1, 2]);
+    for _ in 0..2 {
+        transfer.record_list_request(at(0));
+        transfer.record_list_failure(at(1));
+    }
+
+    let Step::Wait(until) = transfer.next_step(at(1)) else {
+        panic!("does not wait");
+    };
+
+    assert_eq!(transfer.next_step(until), Step::RequestList { source: 1 });
+}
+
 #[test]
 fn parts_that_arrived_are_not_requested_again_from_another_source() {
     let mut transfer = transfer_with(&[1, 2, 3], &[10, 11]);
@@ -209,12 +257,14 @@
         Step::RequestList { source } => {
             let silent = source == silent;
             let known = !lost && !silent && fleet[source].stored >= version;
+            transfer.record_list_request(now);
             if known {
                 let missing = parts_of(version);
                 let missing = missing.difference(&fleet[number].parts).copied();
-                transfer.record_list(now, missing.collect::<Vec<_>>());
+                transfer.record_list(now, &source, missing.collect::<Vec<_>>());
+            } else if !silent {
+                transfer.record_list_failure(now);
             }
-            transfer.record_reply(now, known);
         }
         Step::RequestParts { source, parts } => {
             let silent = source == silent;
