Watch the store in groups while no watcher is heard, also behind silent ones

What callers saw: after the daemons that watch the store were lost in silence, the others served an older configuration for longer than is allowed (CONFIG).

Cause: the others noticed only once the latest known answer of the store was 1.9 s old, of 2 s in all, looked every 250 ms, and only the first five in rank then watched, even if these were lost too and not yet suspected. Class: detection that takes as long as the promise that depends on it, and a duty that waits for a process which may be gone.

Change: a wait of 1.0 s and a limit of 1.4 s (default timings: 6 s); behind it groups of five follow at 50 ms; the check is timed by the age instead of polled.

engine::dissemination::a_change_reaches_the_last_daemons_while_all_before_them_are_lost_unnoticed failed before (60 s) and passes. a_change_reaches_every_daemon_after_both_watchers_crashed dropped its engines, whose tasks went on; its daemons now have runtimes that end. It passes before and after.

--- a/crates/cluster/src/config.rs
+++ b/crates/cluster/src/config.rs
@@ -91,7 +91,7 @@
             list_timeout: Duration::from_secs(5),
             exchange_timeout: Duration::from_secs(3),
             backoff: Duration::from_secs(1),
-            stale_after: Duration::from_secs(9),
+            stale_after: Duration::from_secs(6),
             watchers: 2,
             reads_at_start: false,
             removal_delay: Duration::ZERO,
--- a/crates/cluster/src/spread/compare.rs
+++ b/crates/cluster/src/spread/compare.rs
@@ -120,7 +120,7 @@
     let local = &shared.local;
     let eligible = members.iter();
     let eligible = eligible.filter(|m| m.region == local.region && m.is_eligible());
-    let mut candidates = watcher::select(watch::RANK_KEY, eligible, watch::STALE_WATCHERS);
+    let mut candidates = watcher::select(watch::RANK_KEY, eligible, watcher::GROUP);
     let count = candidates.len();
     candidates.retain(|m| m.instance != local.instance);
     if candidates.len() == count {
--- a/crates/cluster/src/spread/watch.rs
+++ b/crates/cluster/src/spread/watch.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use monsooncart_policy::membership::member;
+use monsooncart_policy::rollout::watcher;
 use monsooncart_store::{error, object, store};
 use monsooncart_types::map;
 use monsooncart_wire::{frame, update};
@@ -15,9 +16,6 @@
 /// Key by which the watchers of a region are ranked.
 pub(super) const RANK_KEY: &[u8] = b"config";
 
-/// Number of watchers of a region while no watcher is known to reach the platform.
-pub(super) const STALE_WATCHERS: usize = 5;
-
 /// Maximum number of disconnected watchers in whose place other daemons are selected.
 const MAX_DISCONNECTED: usize = 8;
 
@@ -35,27 +33,20 @@
 /// is priced.
 const CHANGE_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Interval between checks of whether this daemon is selected as a watcher.
+/// Maximum interval between checks of whether this daemon is selected as a watcher.
 const SELECTION_POLL_INTERVAL: Duration = Duration::from_millis(250);
 
 /// Minimum wait of a watch while removals are deferred.
 const MIN_WATCH_WAIT: Duration = Duration::from_millis(50);
 
-/// Whether this daemon is selected as a watcher. A daemon that has just started and knows no other
-/// is not, as its rank is meaningless without other members.
-fn is_selected(shared: &shared::Shared) -> bool {
+/// Time until this daemon watches unless an answer of the platform becomes known; zero if it is
+/// selected as a watcher now. A daemon that has just started and knows no other is not, as its place
+/// in the order is meaningless without other members.
+fn time_until_selected(shared: &shared::Shared) -> Duration {
     let alone = shared.members.load().len() <= 1;
     if alone && shared.started_at.elapsed() < shared.timings.discovery_grace {
-        return false;
+        return SELECTION_POLL_INTERVAL;
     }
-    let stale_after = shared.timings.stale_after;
-    let answered_recently = shared.freshness.age().is_some_and(|age| age < stale_after);
-    let watchers = shared.timings.watchers;
-    let count = if answered_recently {
-        watchers
-    } else {
-        STALE_WATCHERS.max(watchers)
-    };
     // Disconnected watchers go on retrying, but others watch in their place. If many watchers are
     // disconnected, the platform itself is unavailable, and no further daemons are to call it.
     let disconnected = shared.freshness.disconnected();
@@ -64,7 +55,18 @@
             disconnected.len() > MAX_DISCONNECTED || !disconnected.contains(&m.instance);
         m.state == member::State::Alive && is_considered
     };
-    shared::lock(&shared.protocol).is_watcher(RANK_KEY, count, is_candidate)
+    let place = shared::lock(&shared.protocol).watcher_place(RANK_KEY, is_candidate);
+    let (watchers, stale_after) = (shared.timings.watchers, shared.timings.stale_after);
+    match shared.freshness.age() {
+        Some(age) => watcher::due_age(place, watchers, stale_after).saturating_sub(age),
+        None if place < watcher::GROUP.max(watchers) => Duration::ZERO,
+        None => SELECTION_POLL_INTERVAL,
+    }
+}
+
+/// Whether this daemon is selected as a watcher.
+fn is_selected(shared: &shared::Shared) -> bool {
+    time_until_selected(shared).is_zero()
 }
 
 /// A removal that takes effect only if the object does not reappear before `due_at`.
@@ -108,9 +110,10 @@
     pub(crate) async fn run(mut self) {
         let mut must_read_first = self.shared.timings.reads_at_start;
         loop {
-            if !must_read_first && !is_selected(&self.shared) {
+            let delay = time_until_selected(&self.shared);
+            if !must_read_first && !delay.is_zero() {
                 self.apply_deferred_removals();
-                tokio::time::sleep(SELECTION_POLL_INTERVAL).await;
+                tokio::time::sleep(delay.min(SELECTION_POLL_INTERVAL)).await;
                 continue;
             }
             self.log_selection();
--- a/crates/cluster/tests/engine/dissemination.rs
+++ b/crates/cluster/tests/engine/dissemination.rs
@@ -8,8 +8,9 @@
 use monsooncart_cluster::{config, engine};
 use monsooncart_config::{object, zone};
 use monsooncart_policy::membership::timings;
+use monsooncart_policy::rollout::watcher;
 
-use crate::fixture::{self, Daemon};
+use crate::fixture::{self, Daemon, Process};
 use crate::platform::{self, Platform};
 
 pub async fn start(name: &str, seeds: Vec<net::SocketAddr>, platform: &Platform) -> Daemon {
@@ -163,19 +164,94 @@
 #[tokio::test]
 async fn a_change_reaches_every_daemon_after_both_watchers_crashed() {
     let platform = Platform::new();
-    let mut daemons = fleet(6, &platform).await;
+    let mut processes = processes(6, &platform, fixture::timings()).await;
     let version = platform
         .write(&object::Key::Zones, &platform::zones("attica-a"))
         .await;
-    wait_until_stored(&daemons, &object::Key::Zones, version).await;
+    for process in &processes {
+        let stored = || stores(&process.daemon.engine, &object::Key::Zones, version);
+        fixture::eventually("configuration stored", stored).await;
+    }
 
-    daemons.sort_by_key(platform_calls);
-    daemons.truncate(4);
+    processes.sort_by_key(|process| platform_calls(&process.daemon));
+    processes.drain(4..).for_each(Process::crash);
     let version = platform
         .write(&object::Key::Zones, &platform::zones("attica-b"))
         .await;
 
-    wait_until_stored(&daemons, &object::Key::Zones, version).await;
+    for process in &processes {
+        let stored = || stores(&process.daemon.engine, &object::Key::Zones, version);
+        fixture::eventually("configuration stored", stored).await;
+    }
+    processes.into_iter().for_each(Process::crash);
+}
+
+/// Starts daemons that can crash, and waits until all know each other.
+async fn processes(count: usize, platform: &Platform, timings: config::Timings) -> Vec<Process> {
+    let mut processes = Vec::<Process>::new();
+    for number in 0..count {
+        let recorder = fixture::recorder();
+        let config = fixture::settings(&format!("vm-{number}"), &recorder);
+        let seeds = processes.iter().take(1);
+        let seeds = seeds.map(|p| p.daemon.engine.local().peers).collect();
+        let config = config.timings(timings).seeds(seeds);
+        let config = config.store(platform.outage.clone());
+        processes.push(Process::start(config, recorder).await);
+    }
+    for process in &processes {
+        let joined = || process.daemon.engine.members().len() == count;
+        fixture::eventually("all joined", joined).await;
+    }
+    processes
+}
+
+/// Timings with which no lost member is noticed, so that it stays in the order of the watchers.
+fn timings_without_failure_detection() -> config::Timings {
+    let timings = fixture::timings();
+    let never = Duration::from_secs(3600);
+    config::Timings {
+        membership: timings::Timings {
+            probe_interval: never,
+            suspicion_timeout: never,
+            ..timings.membership
+        },
+        max_watch_wait: Duration::from_millis(200),
+        stale_after: Duration::from_millis(400),
+        watchers: 1,
+        ..timings
+    }
+}
+
+/// Guards against daemons that wait for lost ones to watch the platform, as these are still before them
+/// in the order of the watchers, and serve an older configuration meanwhile (CONFIG).
+#[tokio::test]
+async fn a_change_reaches_the_last_daemons_while_all_before_them_are_lost_unnoticed() {
+    const LOST: usize = 6;
+    let platform = Platform::new();
+    let mut processes = processes(LOST + 2, &platform, timings_without_failure_detection()).await;
+    let first = platform
+        .write(&object::Key::Zones, &platform::zones("attica-a"))
+        .await;
+    for process in &processes {
+        let stored = || stores(&process.daemon.engine, &object::Key::Zones, first);
+        fixture::eventually("configuration stored", stored).await;
+    }
+
+    let members = processes[0].daemon.engine.members();
+    let order = watcher::select(b"config", members.iter(), LOST);
+    let is_lost = |p: &mut Process| order.iter().any(|m| m.vm == p.daemon.engine.local().vm);
+    let lost: Vec<_> = processes.extract_if(.., is_lost).collect();
+    assert_eq!(lost.len(), LOST);
+    lost.into_iter().for_each(Process::crash);
+    let second = platform
+        .write(&object::Key::Zones, &platform::zones("attica-b"))
+        .await;
+
+    for process in &processes {
+        let stored = || stores(&process.daemon.engine, &object::Key::Zones, second);
+        fixture::eventually("configuration stored", stored).await;
+    }
+    processes.into_iter().for_each(Process::crash);
 }
 
 #[tokio::test]
--- a/crates/cluster/tests/engine/fixture.rs
+++ b/crates/cluster/tests/engine/fixture.rs
@@ -11,6 +11,7 @@
 use monsooncart_policy::membership::{member, timings};
 use monsooncart_types::instance;
 use monsooncart_wire::{claims, floor, update, usage};
+use tokio::runtime;
 
 /// Maximum time until a condition holds.
 const TIMEOUT: Duration = Duration::from_secs(60);
@@ -88,6 +89,29 @@
     pub recorder: Arc<Recorder>,
 }
 
+/// A daemon on a runtime of its own, which ends with all of its tasks and sockets when it crashes.
+pub struct Process {
+    pub daemon: Daemon,
+    runtime: runtime::Runtime,
+}
+
+impl Process {
+    pub async fn start(config: config::Config, recorder: Arc<Recorder>) -> Self {
+        let mut builder = runtime::Builder::new_multi_thread();
+        let runtime = builder.worker_threads(1).enable_all().build().unwrap();
+        let engine = runtime.spawn(config.start()).await.unwrap().unwrap();
+        Self {
+            daemon: Daemon { engine, recorder },
+            runtime,
+        }
+    }
+
+    /// Ends the daemon without a message to the others.
+    pub fn crash(self) {
+        self.runtime.shutdown_background();
+    }
+}
+
 pub fn timings() -> config::Timings {
     config::Timings {
         membership: timings::Timings {
--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -43,16 +43,17 @@
 /// probes have a resolution of whole seconds.
 const STORE_ACK_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// Time for which a watch waits for a change; bounds the time until the loss of the store is
-/// noticed.
-const WATCH_WAIT: Duration = Duration::from_millis(1200);
+/// Time for which a watch waits for a change; bounds the time until the loss of the store, or of the
+/// daemon that watches, is noticed.
+const WATCH_WAIT: Duration = Duration::from_millis(1000);
 
 /// Timeout of the response to a watch, in addition to its wait.
 const WATCH_RESPONSE_TIMEOUT: Duration = Duration::from_millis(600);
 
-/// Age of the last response from the store after which more daemons watch it: one wait plus one
-/// response.
-const STALE_AFTER: Duration = Duration::from_millis(1900);
+/// Age of the last response from the store after which more daemons watch it: one wait plus the response
+/// of a slow store. A change must be in force within two seconds, also if the daemons that watch are
+/// lost just before it.
+const STALE_AFTER: Duration = Duration::from_millis(1400);
 
 /// Timeout of an anti-entropy call or a pull from a peer: half of the two seconds within which a
 /// change must be in force.
--- a/crates/policy/src/membership/protocol.rs
+++ b/crates/policy/src/membership/protocol.rs
@@ -135,20 +135,20 @@
         top.iter().any(|m| m.vm == self.local.member.vm)
     }
 
-    /// Whether this daemon is among the `count` watchers for `key`, which are selected from this
-    /// daemon and the members of its region that satisfy `is_candidate`.
+    /// Position of this daemon in the order of the watchers for `key`, which consists of this daemon and
+    /// the members of its region that satisfy `is_candidate`.
     #[must_use]
-    pub fn is_watcher(
+    pub fn watcher_place(
         &self,
         key: &[u8],
-        count: usize,
         is_candidate: impl Fn(&member::Member) -> bool,
-    ) -> bool {
+    ) -> usize {
         let local = &self.local.member;
         let eligible = self.eligible_in_region();
         let candidates = eligible.filter(|m| m.vm == local.vm || is_candidate(m));
-        let watchers = watcher::select(key, candidates, count);
-        watchers.iter().any(|m| m.vm == local.vm)
+        let order = watcher::select(key, candidates, usize::MAX);
+        let place = order.iter().position(|m| m.vm == local.vm);
+        place.unwrap_or(usize::MAX)
     }
 
     /// Members of the region that may be assigned responsibilities, including this one.
--- a/crates/policy/tests/rollout/watcher.rs
+++ b/crates/policy/tests/rollout/watcher.rs
@@ -1,5 +1,7 @@
 //! The strongest members watch the platform.
 
+use std::time::Duration;
+
 use monsooncart_policy::rank;
 use monsooncart_policy::rollout::{tree, watcher};
 use monsooncart_types::id;
@@ -67,3 +69,32 @@
     assert_eq!(reversed, before);
     assert_eq!(after[..4], before[1..]);
 }
+
+/// Guards against a change that is in force late since all members that watch are lost, and those that
+/// are next as well (CONFIG): gateway deployments promise 2 s, of which half a second is left for the
+/// listing and its dissemination.
+#[test]
+fn with_ten_members_lost_in_silence_the_next_one_watches_within_a_few_intervals() {
+    const STALE_AFTER: Duration = Duration::from_millis(1400);
+    let due_ages: Vec<_> = (0..12)
+        .map(|place| watcher::due_age(place, 1, STALE_AFTER))
+        .collect();
+
+    assert_eq!(due_ages[0], Duration::ZERO);
+    assert_eq!(due_ages[1], STALE_AFTER);
+    assert!(due_ages.is_sorted());
+    assert!(due_ages[11] <= Duration::from_millis(1500), "{due_ages:?}");
+}
+
+#[test]
+fn members_that_watch_at_the_same_time_are_few() {
+    let due_at = |age: Duration| {
+        let places = 0..200;
+        let due = places.filter(|place| watcher::due_age(*place, 1, Duration::from_secs(1)) == age);
+        due.count()
+    };
+
+    for millis in (1000..2500).step_by(50) {
+        assert!(due_at(Duration::from_millis(millis)) <= watcher::GROUP);
+    }
+}
