Reuse a connection after a refusal only if the server echoes the id of the attempt

Cause: with the own interface, servers need not echo the attempt, and a refusal without an echo left its connection in the pool, so that a second copy was taken for the answer to the next request. With host routing the echo is required and the copy bears an earlier id: it ends as 502 (test beside it, which passed before).

not_run::a_refusal_written_once_more_on_a_kept_connection_refuses_no_later_request failed before and passes.

--- a/crates/proxy/src/exchange.rs
+++ b/crates/proxy/src/exchange.rs
@@ -171,8 +171,13 @@
     }
     if let Some(failure) = refusal {
         tracker.refused = true;
-        // A server that refuses work is loaded; reuse its connection if the exchange is complete.
-        if call.request_body.is_complete() && rest.is_end_stream() && !closes_connection(&head) {
+        // A server that refuses work is loaded; reuse its connection if the exchange is complete. A
+        // second copy of a refusal is told apart from the answer to the next request by its id alone.
+        let is_reusable = call.request_body.is_complete()
+            && rest.is_end_stream()
+            && !closes_connection(&head)
+            && head.headers.contains_key(echo_header(common));
+        if is_reusable {
             server.pool.put(connection, common.clock.now());
         }
         return Err(failure);
@@ -388,20 +393,26 @@
     }
 }
 
+/// Header of a response in which the server echoes the id of the attempt.
+fn echo_header(common: &common::Common) -> http::HeaderName {
+    match &common.host_headers {
+        Some(host_headers) => host_headers.request.clone(),
+        None => header::ATTEMPT,
+    }
+}
+
 /// Whether a response can belong to this attempt.
 fn matches_attempt(
     common: &common::Common,
     head: &http::response::Parts,
     correlation_id: &HeaderValue,
 ) -> bool {
-    let echo_header = match &common.host_headers {
-        Some(host_headers) => &host_headers.request,
-        None => &header::ATTEMPT,
-    };
-    let mut echoes = head.headers.get_all(echo_header).iter();
+    let echo_header = echo_header(common);
+    let mut echoes = head.headers.get_all(&echo_header).iter();
     // With host routing servers always echo the id, so a response without it may belong to
     // another request.
-    let has_required_echo = common.host_headers.is_none() || head.headers.contains_key(echo_header);
+    let has_required_echo =
+        common.host_headers.is_none() || head.headers.contains_key(&echo_header);
     head.status.as_u16() >= 200 && has_required_echo && echoes.all(|echo| echo == correlation_id)
 }
 
--- a/crates/proxy/tests/all/not_run.rs
+++ b/crates/proxy/tests/all/not_run.rs
@@ -44,6 +44,51 @@
     assert_eq!(outcome, "not-run");
 }
 
+/// Guards against a second copy of a refusal that is taken for the answer to the next request on the
+/// connection, which the server runs (REFUSED, TWICE).
+#[tokio::test]
+async fn a_refusal_written_once_more_on_a_kept_connection_refuses_no_later_request() {
+    let refusal = b"HTTP/1.1 503 Service Unavailable\r\nmonsooncart-outcome: not-run\r\n\
+                    content-length: 0\r\n\r\n";
+    let script = vec![
+        Step::ReadHead,
+        Step::Write(refusal.to_vec()),
+        Step::ReadHead,
+        Step::Write(refusal.to_vec()),
+        Step::ReadEnd,
+    ];
+    let server = ScriptedServer::start(script).await;
+    let proxy = fixture::start_proxy(&[server.address]).await;
+
+    for _ in 0..2 {
+        let outcome = request_outcome(&proxy, 0).await;
+
+        assert_eq!(outcome, "not-run");
+    }
+
+    // Each attempt was refused as the first one of its connection.
+    assert_eq!(server.connections(), server.heads());
+}
+
+/// Guards against the same with host routing, where the copy bears the id of the earlier request.
+#[tokio::test]
+async fn a_refusal_with_the_id_of_an_earlier_request_is_no_promise() {
+    let refusal = |id: &str| {
+        let head = "HTTP/1.1 503 Service Unavailable\r\nx-not-run: 1\r\ncontent-length: 0\r\n";
+        Step::Write(format!("{head}x-request: {id}\r\n\r\n").into_bytes())
+    };
+    for earlier in ["0", "2"] {
+        let script = vec![Step::ReadHead, refusal(earlier), Step::ReadEnd];
+        let server = ScriptedServer::start(script).await;
+        let proxy = fixture::start_host_proxy(&[server.address], fixture::TEST_TIMEOUT).await;
+
+        let answer = fixture::send(proxy.address, fixture::host_request("POST", "/orders/1")).await;
+
+        assert_eq!(answer.status, 502);
+        assert_eq!(server.heads(), 1);
+    }
+}
+
 #[tokio::test]
 async fn not_run_is_reported_only_if_the_server_received_nothing() {
     let partial_head = b"HTTP/1.1 200 OK\r\ncontent-le".to_vec();
