--- a/crates/policy/tests/selector/outcomes.rs
+++ b/crates/policy/tests/selector/outcomes.rs
@@ -1,6 +1,8 @@
 //! Results of requests: retries, refusals and hedges.
 
-use monsooncart_policy::{action, event, handle, outcome};
+use std::time::Duration;
+
+use monsooncart_policy::{action, event, handle, inventory, outcome};
 
 use crate::fixture::{self, MS};
 
@@ -164,3 +166,34 @@
     let view = monsooncart_policy::service::Policy::view(&harness.policy, harness.now);
     assert_eq!(view[0].state, "active");
 }
+
+/// Guards against a process that ends by itself because another writer registered a server with the
+/// largest numbers that its fields hold (LOST).
+#[test]
+fn a_server_with_the_largest_numbers_in_its_registration_does_not_affect_the_others() {
+    let odd = inventory::Server {
+        slots: u32::MAX,
+        remaining_warm_up: Duration::MAX,
+        started_millis: u64::MAX,
+        ..fixture::server(0)
+    };
+    let servers = vec![odd, fixture::server(1), fixture::server(2)];
+    let mut harness = fixture::waiting_harness(servers);
+
+    for number in 0..200 {
+        let outcome = match number % 3 {
+            0 => outcome::Outcome::Answered(200),
+            1 => outcome::Outcome::Answered(500),
+            _ => outcome::Outcome::Shed { leaving: false },
+        };
+        let actions = harness.arrive(number % 2 == 0);
+        if let Some(sent) = fixture::sent_attempts(&actions).first() {
+            harness.advance(20 * MS);
+            harness.finish(sent.attempt, outcome);
+        }
+        harness.handle(event::Event::Tick);
+        harness.report_evidence(0, 1, 1);
+    }
+
+    assert_eq!(harness.requests, 200);
+}
