--- a/crates/policy/src/rollout/transfer.rs
+++ b/crates/policy/src/rollout/transfer.rs
@@ -2,9 +2,9 @@
 //!
 //! A daemon requests first the list of the parts and then the missing ones, in batches, from one
 //! source at a time. While a source does not answer the request for the list, which is small, the
-//! next one is asked as well: a lost VM is silent. Parts that have arrived are kept when a source fails or a newer version takes
-//! the place of the version, so that nothing is transferred twice, and can be served to other
-//! daemons at once. A source that has nothing new, or does not answer, is followed by the next one
+//! next one is asked as well: a lost VM is silent. Parts that have arrived are kept when a source
+//! fails or a newer version takes the place of the version, so that nothing is transferred twice, and
+//! can be served to other daemons at once. A source that has nothing new, or does not answer, is followed by the next one
 //! of the list; sources that were tried in vain are tried again after a delay.
 //!
 //! Invariants: a version is complete only with all of its parts; a part is stored at most once; no
--- a/crates/policy/src/selector/budget.rs
+++ b/crates/policy/src/selector/budget.rs
@@ -5,9 +5,9 @@
 //!
 //! The slack is a flow: each daemon of the entry sets earns an equal part of it over time, keeps at
 //! most what it earns in one window, and loses that when it leaves the sets or restarts. What all
-//! daemons spend in a window is therefore bounded by what they held and what they earned, however
-//! often daemons replace each other, and by the little with which they start. A daemon that loses sight of others goes on to divide
-//! by their number, as they may be there and spend their parts.
+//! daemons spend in a window is therefore bounded by what they held, what they earned and the little
+//! with which they start, however often daemons replace each other. A daemon that loses sight of
+//! others goes on to divide by their number for a while, as they may be there and spend their parts.
 //!
 //! While more attempts fail than may be retried, the retries go to what is most urgent.
 
