--- a/crates/policy/tests/rollout/transfer.rs
+++ b/crates/policy/tests/rollout/transfer.rs
@@ -40,7 +40,8 @@
 /// which is silent (CONFIG).
 #[test]
 fn a_silent_source_does_not_hold_up_the_list_for_the_timeout_of_a_request() {
-    /// Part of the timeout of a request, which is 500 ms.
+    /// Half of what is left of the 2 s within which a change is in force, if the daemon that passes it
+    /// on has read it after 1.5 s.
     const LATEST: u64 = 250;
     let mut transfer = Transfer::<u32, u32>::new(at(0), 5, vec![1, 2, 3]);
     transfer.record_list_request(at(0));
