--- a/review/harness/src/fleet.rs
+++ b/review/harness/src/fleet.rs
@@ -17,6 +17,8 @@
 pub const ADMIN: u16 = 8166;
 pub const READY: u16 = 8167;
 pub const PEERS: u16 = 7720;
+/// Fixed by the template of the settings.
+const METRICS: u16 = 9464;
 
 /// Port of the store and of the servers.
 pub const STORE: u16 = 8169;
@@ -56,10 +58,13 @@
                 .wrapping_mul(0x9e37_79b9_7f4a_7c15)
                 >> 40;
             let network = Self([64 + (mixed % 128) as u8, (mixed / 128 % 250) as u8]);
-            let is_free = |port| TcpListener::bind(network.address(1, port)).is_ok();
-            if [FRONT, REGISTRY, ADMIN, READY, PEERS, 9464]
-                .into_iter()
-                .all(is_free)
+            let is_free = |host, port| TcpListener::bind(network.address(host, port)).is_ok();
+            let daemon = [FRONT, REGISTRY, ADMIN, READY, PEERS, METRICS];
+            let mut daemons = (1..=3).flat_map(|host| daemon.map(|port| (host, port)));
+            let mut servers = (100..120).map(|host| (host, SERVER));
+            if daemons.all(|(host, port)| is_free(host, port))
+                && servers.all(|(host, port)| is_free(host, port))
+                && is_free(250, STORE)
             {
                 return network;
             }
