Grounds of attempts: time since the last known attempt at the server

The logs could not tell a server of which nothing has been heard from one that had no requests: an attempt whose result is outstanding renews the evidence, and evidence of a success may be older than the last attempt. The new figure stands in each line 'proxy: request ended' beside the age of the evidence.

--- a/crates/policy/src/action.rs
+++ b/crates/policy/src/action.rs
@@ -9,13 +9,15 @@
 /// State of a server that its selection for an attempt was based on.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, derive_more::Display)]
 #[display(
-    "risk={risk}/1000,evidence={evidence_age_millis}ms,load={load}/{slots},daemons={daemons}"
+    "risk={risk}/1000,evidence={evidence_age_millis}ms,idle={idle_millis}ms,load={load}/{slots},daemons={daemons}"
 )]
 pub struct Grounds {
     /// Probability that the attempt fails, in thousandths; 0 if the policy estimates none.
     pub risk: u32,
     /// Age of the last evidence about the server, in milliseconds.
     pub evidence_age_millis: u64,
+    /// Time since the last known attempt at the server, of any daemon, in milliseconds.
+    pub idle_millis: u64,
     /// Known attempts in flight at the server.
     pub load: u32,
     /// Number of requests that the server processes concurrently.
--- a/crates/policy/src/selector/server.rs
+++ b/crates/policy/src/selector/server.rs
@@ -405,10 +405,12 @@
 
     /// Grounds for sending an attempt at `now`.
     pub fn grounds(&self, now: time::Time) -> action::Grounds {
-        let age = now.since(self.last_evidence_at).as_millis();
+        let millis_since =
+            |at: time::Time| u64::try_from(now.since(at).as_millis()).unwrap_or(u64::MAX);
         action::Grounds {
             risk: (self.belief.failure_probability(now) * 1000.0) as u32,
-            evidence_age_millis: u64::try_from(age).unwrap_or(u64::MAX),
+            evidence_age_millis: millis_since(self.last_evidence_at),
+            idle_millis: millis_since(self.last_attempt_at),
             load: self.load(now),
             slots: self.spec.slots,
             ..action::Grounds::default()
