--- a/crates/policy/tests/selector/main.rs
+++ b/crates/policy/tests/selector/main.rs
@@ -6,6 +6,7 @@
 mod choice;
 mod coverage;
 mod fixture;
+mod idle_servers;
 mod invariants;
 mod load;
 mod outcomes;
