--- a/crates/policy/tests/selector/idle_servers.rs
+++ b/crates/policy/tests/selector/idle_servers.rs
@@ -6,7 +6,7 @@
 
 use monsooncart_policy::selector::{Config, Selector};
 use monsooncart_policy::service::Policy as _;
-use monsooncart_policy::{action, event, handle, outcome, rank};
+use monsooncart_policy::{event, handle, outcome, rank};
 use monsooncart_types::{instance, time};
 
 use crate::fixture::{self, MS};
@@ -139,6 +139,12 @@
         self.jobs.retain(|job| job.daemon != daemon);
     }
 
+    fn set_states(&mut self, daemons: &[usize], state: State) {
+        for daemon in daemons {
+            self.daemons[*daemon].state = state;
+        }
+    }
+
     /// Whether the result of an attempt at a healthy server is a failure.
     fn fails(&self) -> bool {
         rank::hash(&(self.starts << 32 | self.sent).to_be_bytes()) % 1000 < FAILED_PER_THOUSAND
@@ -284,9 +290,9 @@
     let share = least_share(|fleet| {
         for round in 0..4 {
             let frozen = [round % DAEMONS, (round + 1) % DAEMONS];
-            frozen.map(|daemon| fleet.daemons[daemon].state = State::Frozen);
+            fleet.set_states(&frozen, State::Frozen);
             fleet.run(Duration::from_secs(3));
-            frozen.map(|daemon| fleet.daemons[daemon].state = State::Running);
+            fleet.set_states(&frozen, State::Running);
             fleet.run(Duration::from_secs(1));
         }
     });
