Planned stop: late requests are waited for until their deadline, or not sent (LOST)

Callers whose request was read between 0.5 and 0.9 of the grace period on a kept connection got 502 at 0.9 of it, while their server was at work; among them requests that may not be repeated.

Cause: connections stay open for up to a second after the daemon stops to accept new ones, and what was read on them was passed on, however little time was left. The phases of a stop were three independent shares of the grace period, and no one asked whether a request fits into what is left.

policy::stop::Schedule now holds the phases, and says whether a request with this deadline may be sent at this time. In the second half only those that are given up before the daemon stops waiting are sent; all others get 503, not run, with a retry delay. The check is made where an attempt is sent, so it holds for retries, queued requests, uploads and relays too.

--- a/crates/daemon/src/engine.rs
+++ b/crates/daemon/src/engine.rs
@@ -5,6 +5,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
+use monsooncart_policy::stop;
 use monsooncart_store::store;
 use monsooncart_task as task;
 use tokio::net::TcpListener;
@@ -274,7 +275,7 @@
             cluster.drain();
         }
         match &core.settings.gateway {
-            Some(gateway) => self.stop_within(gateway::StopPhases::new(gateway)).await,
+            Some(gateway) => self.stop_within(stop::Schedule::new(gateway.grace.0)).await,
             None => {
                 let accept_duration = LEAVE_PROPAGATION_TIME + core.settings.entry_lifetime.0;
                 tokio::time::sleep(accept_duration).await;
@@ -292,8 +293,11 @@
     }
 
     /// Serves and stops in the phases of a grace period.
-    async fn stop_within(&self, phases: gateway::StopPhases) {
+    async fn stop_within(&self, phases: stop::Schedule) {
         let start = Instant::now();
+        if let Some(proxy) = self.shared.components.core.proxy() {
+            proxy.set_stop(start, phases);
+        }
         tokio::time::sleep(phases.accept).await;
         let closed = tokio::time::timeout_at(start + phases.abandon, self.close_callers()).await;
         if closed.is_err() {
--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -66,18 +66,6 @@
 /// servers register again within two seconds.
 const MISSING_SERVER_RETENTION: Duration = Duration::from_millis(2200);
 
-/// Share of the grace period during which a draining daemon still accepts connections; the rest is
-/// left for requests in flight.
-const ACCEPT_SHARE: f64 = 0.5;
-
-/// Share of the grace period after which requests that wait for a server get a response from the
-/// daemon; the rest is left to deliver it.
-const ABANDON_SHARE: f64 = 0.9;
-
-/// Share of the grace period after which the process exits, whatever is in flight, instead of being
-/// killed.
-const EXIT_SHARE: f64 = 0.97;
-
 /// Bandwidth used per core, in Mbit/s: about 700 requests per second of 70 KB each.
 const LINK_MBPS_PER_CORE: f64 = 400.0;
 
@@ -241,27 +229,3 @@
     };
     seeds.map(seed).collect()
 }
-
-/// Phases of a planned stop, as times from its start.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct StopPhases {
-    /// Until when connections are accepted.
-    pub accept: Duration,
-    /// When requests that wait for a server get a response from the daemon.
-    pub abandon: Duration,
-    /// When the process exits.
-    pub exit: Duration,
-}
-
-impl StopPhases {
-    /// Divides the grace period.
-    #[must_use]
-    pub fn new(gateway: &settings::Gateway) -> Self {
-        let share = |share: f64| gateway.grace.0.mul_f64(share);
-        Self {
-            accept: share(ACCEPT_SHARE),
-            abandon: share(ABANDON_SHARE),
-            exit: share(EXIT_SHARE),
-        }
-    }
-}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -29,4 +29,5 @@
 pub mod selector;
 pub mod service;
 pub mod slots;
+pub mod stop;
 pub mod waiting;
--- /dev/null
+++ b/crates/policy/src/stop.rs
@@ -0,0 +1,50 @@
+//! Schedule of a planned stop, at whose end the platform kills the process.
+//!
+//! In the first phase the daemon serves as before, while callers learn of other daemons. From the end
+//! of that phase on, a request is sent to a server only if its deadline is before the moment at which
+//! the daemon gives up waiting; any other one is refused as not run, so that its caller sends it
+//! elsewhere. Hence each request that is sent in the second phase is waited for until its deadline,
+//! and each one that is sent in the first phase for the whole second phase at least.
+
+use std::time::Duration;
+
+/// Share of the grace period during which a draining daemon serves as before; the rest is left for
+/// requests in flight.
+const ACCEPT_SHARE: f64 = 0.5;
+
+/// Share of the grace period after which requests that wait for a server get a response from the
+/// daemon; the rest is left to deliver it.
+const ABANDON_SHARE: f64 = 0.9;
+
+/// Share of the grace period after which the process exits, whatever is in flight, instead of being
+/// killed.
+const EXIT_SHARE: f64 = 0.97;
+
+/// Phases of a planned stop, as times from its start.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Schedule {
+    /// Until when connections are accepted, and any request is sent.
+    pub accept: Duration,
+    /// When requests that wait for a server get a response from the daemon.
+    pub abandon: Duration,
+    /// When the process exits.
+    pub exit: Duration,
+}
+
+impl Schedule {
+    /// Divides a grace period.
+    #[must_use]
+    pub fn new(grace: Duration) -> Self {
+        Self {
+            accept: grace.mul_f64(ACCEPT_SHARE),
+            abandon: grace.mul_f64(ABANDON_SHARE),
+            exit: grace.mul_f64(EXIT_SHARE),
+        }
+    }
+
+    /// Whether a request with this deadline may be sent to a server at `now`.
+    #[must_use]
+    pub fn may_send(&self, now: Duration, deadline: Duration) -> bool {
+        now < self.accept || deadline <= self.abandon
+    }
+}
--- /dev/null
+++ b/crates/policy/tests/stop.rs
@@ -0,0 +1,56 @@
+//! The schedule of a planned stop, over grace periods, arrival times and lengths of work.
+
+use std::time::Duration;
+
+use monsooncart_policy::stop;
+
+const STEP: Duration = Duration::from_millis(50);
+
+fn steps(end: Duration) -> impl Iterator<Item = Duration> {
+    (0..)
+        .map(|step| STEP * step)
+        .take_while(move |at| *at < end)
+}
+
+fn schedules() -> impl Iterator<Item = (Duration, stop::Schedule)> {
+    let grace_periods = (1..=60).map(Duration::from_secs);
+    grace_periods.map(|grace| (grace, stop::Schedule::new(grace)))
+}
+
+/// Guards against requests that are passed on late in a planned stop and broken off at its end (LOST).
+#[test]
+fn every_request_is_refused_or_waited_for_until_its_deadline_or_for_the_rest_of_the_grace_period() {
+    for (grace, schedule) in schedules() {
+        for (at, allowed) in steps(grace).flat_map(|at| steps(grace).map(move |a| (at, a))) {
+            let deadline = at + allowed;
+            if !schedule.may_send(at, deadline) {
+                continue;
+            }
+            let waited_until = deadline.min(schedule.abandon);
+            let has_its_time = waited_until == deadline;
+            let is_early = at < grace / 2 && waited_until >= grace.mul_f64(5.0 / 6.0);
+            assert!(
+                has_its_time || is_early,
+                "grace {grace:?}, {at:?}, {allowed:?}"
+            );
+        }
+    }
+}
+
+#[test]
+fn requests_are_sent_while_their_deadline_leaves_time() {
+    for (grace, schedule) in schedules() {
+        assert!(schedule.may_send(Duration::ZERO, grace * 10));
+        let at = grace.mul_f64(0.6);
+        assert!(schedule.may_send(at, at + grace.mul_f64(0.29)));
+    }
+}
+
+#[test]
+fn the_phases_follow_each_other_within_the_grace_period() {
+    for (grace, schedule) in schedules() {
+        assert!(schedule.accept < schedule.abandon);
+        assert!(schedule.abandon < schedule.exit);
+        assert!(schedule.exit < grace);
+    }
+}
--- a/crates/proxy/src/common.rs
+++ b/crates/proxy/src/common.rs
@@ -1,14 +1,15 @@
 //! State shared by all parts of the request path.
 
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, OnceLock};
 
 use arc_swap::ArcSwap;
 use http::HeaderValue;
 use monsooncart_config::{routing, settings};
-use monsooncart_policy::{handle, leaving};
+use monsooncart_policy::{handle, leaving, stop};
 use monsooncart_types::{id, map};
 use tokio::sync::watch;
+use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
 use crate::lock::lock;
@@ -48,6 +49,8 @@
     leaving_runs: Mutex<leaving::Runs>,
     /// Connections to daemons that relay requests.
     pub relays: relay::Peers,
+    /// Set from the beginning of a planned stop with a grace period.
+    pub stop: OnceLock<Stop>,
     /// Cancelled when requests without a response are abandoned.
     pub abandoned: CancellationToken,
     /// Distinguishes the attempts of this process from those of any other.
@@ -58,6 +61,13 @@
     drain_logged: AtomicBool,
 }
 
+/// A planned stop with a grace period.
+#[derive(Clone, Copy, Debug)]
+pub struct Stop {
+    pub start: Instant,
+    pub schedule: stop::Schedule,
+}
+
 /// Components of [`Common`].
 pub struct Parts {
     pub name: id::Vm,
@@ -114,6 +124,7 @@
             draining: watch::Sender::new(false),
             leaving_runs: Mutex::default(),
             relays: relay::Peers::default(),
+            stop: OnceLock::new(),
             abandoned: CancellationToken::new(),
             nonce,
             next_request_number: AtomicU64::new(process_bits << SEQUENCE_BITS),
@@ -180,6 +191,14 @@
         *self.draining.borrow()
     }
 
+    /// Whether a planned stop leaves time for a request with this deadline.
+    pub fn has_time(&self, deadline: Instant) -> bool {
+        self.stop.get().is_none_or(|Stop { start, schedule }| {
+            let deadline = deadline.saturating_duration_since(*start);
+            schedule.may_send(start.elapsed(), deadline)
+        })
+    }
+
     /// Starts draining.
     pub fn drain(&self) {
         if !self.drain_logged.swap(true, Ordering::Relaxed) {
--- a/crates/proxy/src/engine.rs
+++ b/crates/proxy/src/engine.rs
@@ -7,12 +7,12 @@
 use arc_swap::ArcSwap;
 use monsooncart_config::snapshot;
 use monsooncart_policy::service::View;
-use monsooncart_policy::{event, handle};
+use monsooncart_policy::{event, handle, stop};
 use monsooncart_task as task;
 use monsooncart_types::{id, instance, map, rate};
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
-use tokio::time::{MissedTickBehavior, interval};
+use tokio::time::{Instant, MissedTickBehavior, interval};
 use tokio_util::task::TaskTracker;
 
 use crate::lock::lock;
@@ -353,6 +353,15 @@
         self.shared.common.drain();
     }
 
+    /// Sends only such requests to servers from now on as the schedule of a planned stop, which began
+    /// at `start`, has room for.
+    pub fn set_stop(&self, start: Instant, schedule: stop::Schedule) {
+        let stop = common::Stop { start, schedule };
+        if self.shared.common.stop.set(stop).is_err() {
+            log::warn!("proxy: a planned stop has begun already");
+        }
+    }
+
     /// Responds to the requests that wait for a response of a server, now and from now on. Those that
     /// may have run are reported as such.
     pub fn abandon_requests(&self) {
--- a/crates/proxy/src/pass.rs
+++ b/crates/proxy/src/pass.rs
@@ -91,6 +91,14 @@
                     }
                 }
                 command = pending.next() => match command {
+                    service::Command::Send { attempt, .. } if !self.has_time(&attempts) => {
+                        attempt::Attempt::new(self.service.clone(), attempt);
+                        return self.abandon(error_reply);
+                    }
+                    service::Command::Relay { attempt, .. } if !self.has_time(&attempts) => {
+                        attempt::Attempt::relayed(self.service.clone(), attempt);
+                        return self.abandon(error_reply);
+                    }
                     service::Command::Send { attempt, .. } if !self.may_send(&attempts) => {
                         // Final safeguard: unrepeatable work is never sent twice, even if the
                         // policy demands it. Dropping the attempt reports it as cancelled.
@@ -156,6 +164,12 @@
             || (attempts.is_empty() && self.account.execution() == outcome::Execution::NotRun)
     }
 
+    /// Whether the daemon does not stop before the request has had its time. A hedge goes beside an
+    /// attempt that is waited for in any case.
+    fn has_time(&self, attempts: &Attempts) -> bool {
+        !attempts.is_empty() || self.common.has_time(self.deadline)
+    }
+
     fn record_retry(&self, server: &server::Server) {
         if self.account.attempt_count() == 0 {
             return;
--- a/tests/all/gateway.rs
+++ b/tests/all/gateway.rs
@@ -3,9 +3,9 @@
 mod announcements;
 mod organisations;
 mod partition;
-
 mod store_epochs;
 
+use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
 use monsooncart_testbed::{registry, worker};
@@ -13,7 +13,10 @@
 use serde_json::json;
 
 use crate::fixture::gateway::{self, Gateway};
-use crate::fixture::{process, wait};
+use crate::fixture::{http, process, wait};
+
+/// Number of requests that a daemon reads late in its planned stop.
+const LATE_REQUESTS: usize = 3;
 
 #[tokio::test(flavor = "multi_thread")]
 async fn requests_are_forwarded_unchanged_to_a_registered_server() {
@@ -298,6 +301,38 @@
     assert!(status.success(), "{status}");
 }
 
+/// Guards against requests that are passed on late in a planned stop and broken off at the end of its
+/// grace time, among them unrepeatable ones (LOST).
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_read_late_in_a_planned_stop_are_reported_as_not_run() {
+    let mut gateway = Gateway::start(2, 1).await;
+    let mut leaving = gateway.daemons.remove(0);
+    // Longer than what is left of the grace time once no connection is accepted.
+    gateway.servers[0].set_delay(Duration::from_millis(3500));
+    leaving.process.signal(Signal::TERM);
+    // Those that were opened last are still open when the daemon accepts no more.
+    let mut connections = VecDeque::new();
+    while let Ok(connection) = http::Connection::open(leaving.caller_address()).await {
+        connections.push_back(connection);
+        if connections.len() > LATE_REQUESTS {
+            connections.pop_front();
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+
+    for (number, connection) in connections.iter_mut().enumerate() {
+        let request = leaving.request("POST", "/buy/x", &format!("late-{number}"));
+        let reply = connection.send(request).await;
+
+        let reply = reply.expect("a response, not a broken connection");
+        assert_eq!(reply.status, 503, "{reply:?}");
+        assert_ne!(reply.header("retry-after"), "");
+        assert_eq!(gateway.executions(&format!("late-{number}")), 0);
+    }
+    let status = leaving.process.wait(Duration::from_secs(30));
+    assert!(status.success(), "{status}");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn hangup_signal_aborts_no_request() {
     let mut gateway = Gateway::start(1, 1).await;
