A missed probe begins a round with the strongest members

Cause: a daemon leaves the entry sets when it misses a probe, but all members are probed in random order, one in 0.5 s. With 97 of 111 daemons lost, the turn of the strong ones came after 2 to 4 s. The logs show the new entry sets from 14.6 to 16.8 s, the daemons stand still from 12.585 s on.

Now a probe without an answer begins a new round in descending order of capacity, among those that are not suspected: others may be lost with the one that did not answer, and callers are sent to the strongest. Nothing changes while all probes are answered.

--- a/crates/policy/src/membership/protocol/probe.rs
+++ b/crates/policy/src/membership/protocol/probe.rs
@@ -26,6 +26,7 @@
             let vm = probe.vm.clone();
             self.probe = None;
             self.suspect(now, &vm, actions);
+            self.probe_strongest_first();
             return;
         }
         if elapsed >= self.timings.probe_timeout && !probe.indirect_started {
@@ -72,6 +73,20 @@
         None
     }
 
+    /// Begins a round with the strongest members that are not suspected. Others may be lost with the one
+    /// that did not answer, and callers are sent to the strongest.
+    fn probe_strongest_first(&mut self) {
+        let mut probe_order = self.view().peers.clone();
+        probe_order.shuffle(&mut self.rng);
+        let alive_capacity = |vm: &id::Vm| {
+            let member = self.table.get(vm).map(|record| &record.member);
+            let alive = member.filter(|m| m.state == member::State::Alive);
+            alive.map(|m| m.capacity)
+        };
+        probe_order.sort_by_key(alive_capacity);
+        self.probe_order = probe_order;
+    }
+
     /// Whether a record is of another live member of this region.
     pub(super) fn is_peer(&self, record: &record::Record) -> bool {
         let m = &record.member;
--- a/crates/policy/tests/membership/faults.rs
+++ b/crates/policy/tests/membership/faults.rs
@@ -178,3 +178,29 @@
     })
     .budget_ms(4_000);
 }
+
+/// Guards against callers that are sent to strong daemons long after these and most others are lost
+/// (FLOOR).
+#[test]
+fn strong_daemons_lost_with_most_others_are_noticed_within_a_few_probes() {
+    const DAEMONS: u8 = 36;
+    const PROBES: u64 = 5;
+    for seed in 30..40 {
+        let mut network = Network::new(seed);
+        network.strong = [1, 2].into();
+        for host in 1..=DAEMONS {
+            network.start(host, "attica");
+        }
+        network.run_until("joined", 60, Network::all_alive);
+
+        network.paused = (1..=DAEMONS * 4 / 5).collect();
+        network.run(PROBES);
+
+        for host in DAEMONS * 4 / 5 + 1..=DAEMONS {
+            for strong in [1, 2] {
+                let state = network.state(host, strong);
+                assert_ne!(state, Some(member::State::Alive), "seed {seed}, at {host}");
+            }
+        }
+    }
+}
--- a/crates/policy/tests/membership/network.rs
+++ b/crates/policy/tests/membership/network.rs
@@ -26,6 +26,8 @@
     /// Probability that a datagram is lost.
     pub loss: f64,
     pub timings: timings::Timings,
+    /// Daemons that start with four times the capacity of the others.
+    pub strong: BTreeSet<Host>,
     /// Changes reported by each daemon.
     pub changes: Vec<(Host, member::Member)>,
     /// Pings sent, as pairs of sender and receiver.
@@ -76,6 +78,7 @@
             paused: BTreeSet::new(),
             loss: 0.0,
             timings: timings::Timings::default(),
+            strong: BTreeSet::new(),
             changes: Vec::new(),
             pings: Vec::new(),
             sent: BTreeMap::new(),
@@ -104,9 +107,13 @@
     /// Starts a daemon with a given initial incarnation.
     pub fn start_with_incarnation(&mut self, host: Host, region: &str, incarnation: u64) {
         self.instance_count += 1;
+        let mut local = member(host, self.instance_count, region);
+        if self.strong.contains(&host) {
+            local.capacity *= 4;
+        }
         let daemon = protocol::Protocol::new(
             self.now,
-            member(host, self.instance_count, region),
+            local,
             incarnation,
             vec![address(1)],
             self.timings,
