A retry draws on its share and on the slack together

Callers got 503 for a request that a server shed, although the budget had room: a daemon that has just started holds 0.83 of a retry (3 daemons, slack 50), and its first requests earn 0.16 each, but either of the two had to permit a whole retry.

A retry now draws on what is left of the share, and for the rest on the slack. Both bounds stay as they are; the property test of all windows passes.

The new unit test fails before.

--- a/crates/policy/src/selector/budget.rs
+++ b/crates/policy/src/selector/budget.rs
@@ -61,22 +61,13 @@
     }
 }
 
-/// What a retry draws on.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Source {
-    /// The share of this daemon's requests.
-    Share,
-    /// This daemon's part of the slack.
-    Slack,
-}
-
 /// Counts of one slice of the window.
 #[derive(Clone, Copy, Debug)]
 struct Slice {
     number: u64,
     requests: u32,
-    /// Retries that drew on the share.
-    retries: u32,
+    /// Retries, and parts of them, that drew on the share.
+    retries: f64,
     /// Highest priority of a retry that was denied; 0 is the highest.
     denied: u32,
 }
@@ -152,7 +143,7 @@
     /// Returns whether another retry keeps the bound. After a retry was denied, less urgent requests
     /// leave a part of the budget to those that are as urgent.
     pub fn allows_retry(&mut self, now: time::Time, priority: u32) -> bool {
-        let is_allowed = self.source(now, priority).is_some();
+        let is_allowed = self.part_of_share(now, priority).is_some();
         if !is_allowed {
             let slice = self.current_slice(now);
             slice.denied = slice.denied.min(priority);
@@ -162,29 +153,28 @@
 
     /// Counts a retry or hedge that was allowed.
     pub fn record_retry(&mut self, now: time::Time, priority: u32) {
-        match self.source(now, priority) {
-            Some(Source::Slack) => self.held_slack -= 1.0,
-            Some(Source::Share) | None => self.current_slice(now).retries += 1,
-        }
+        let of_share = self.part_of_share(now, priority).unwrap_or(1.0);
+        self.current_slice(now).retries += of_share;
+        self.held_slack -= 1.0 - of_share;
     }
 
-    /// What the next retry draws on; `None` if it would exceed the bound.
-    fn source(&mut self, now: time::Time, priority: u32) -> Option<Source> {
+    /// Part of the next retry that draws on the share, the rest of it on the slack; `None` if it would
+    /// exceed the bound. Daemons with few requests would lose what neither of the two has whole.
+    fn part_of_share(&mut self, now: time::Time, priority: u32) -> Option<f64> {
         self.current_slice(now);
         self.earn_slack(now);
         let requests: u32 = self.slices.iter().map(|s| s.requests).sum();
-        let retries: u32 = self.slices.iter().map(|s| s.retries).sum();
+        let retries: f64 = self.slices.iter().map(|s| s.retries).sum();
         let denied = self.slices.iter().map(|s| s.denied).min();
         let reserve = match denied.is_some_and(|denied| denied < priority) {
             true => URGENT_SHARE,
             false => 0.0,
         };
         let share = SHARE_FRACTION * self.limits.share * f64::from(requests);
-        if f64::from(retries + 1) <= share * (1.0 - reserve) {
-            return Some(Source::Share);
-        }
-        let has_slack = self.held_slack - 1.0 >= self.slack_per_window() * reserve;
-        has_slack.then_some(Source::Slack)
+        let of_share = (share * (1.0 - reserve) - retries).clamp(0.0, 1.0);
+        let held_slack = self.held_slack - self.slack_per_window() * reserve;
+        let of_slack = 1.0 - of_share;
+        (of_slack == 0.0 || of_slack <= held_slack).then_some(of_share)
     }
 
     /// Part of the slack that this daemon earns in one window, and holds at most.
@@ -215,7 +205,7 @@
             self.slices.push_back(Slice {
                 number,
                 requests: 0,
-                retries: 0,
+                retries: 0.0,
                 denied: u32::MAX,
             });
         }
--- a/crates/policy/tests/selector/budget.rs
+++ b/crates/policy/tests/selector/budget.rs
@@ -73,6 +73,25 @@
     assert!(f64::from(retries) <= LIMITS.slack, "{retries}");
 }
 
+/// Guards against daemons with few requests that refuse what a server shed, as neither their share nor
+/// their part of the slack permits a whole retry.
+#[test]
+fn a_daemon_that_has_just_started_may_retry_one_of_its_first_requests() {
+    const DAEMONS: u32 = 3;
+    const FIRST_REQUESTS: u32 = 2;
+    let now = time::Time::ZERO;
+    let mut budget = Budget::new(Limits {
+        min_daemons: DAEMONS,
+        ..LIMITS
+    });
+
+    (0..FIRST_REQUESTS).for_each(|_| budget.record_request(now));
+
+    assert!(budget.allows_retry(now, 0));
+    budget.record_retry(now, 0);
+    assert!(!budget.allows_retry(now, 0));
+}
+
 #[test]
 fn retries_outside_the_window_do_not_count() {
     let mut budget = Budget::new(LIMITS);
