Membership: a round after a missed probe visits every member

Each missed probe began the round anew, so that a member of low capacity might not have had its turn while probes of stronger ones failed again and again (by reading). A round in descending order of capacity is now finished, as any other; the next one is in random order. The membership tests pass, among them the one of strong daemons lost with most others.

One fixture function adds a route and waits for it, in place of two copies.

--- a/crates/policy/src/membership/protocol.rs
+++ b/crates/policy/src/membership/protocol.rs
@@ -64,6 +64,8 @@
     suspicions: suspicions::Suspicions,
     view: Arc<view::View>,
     probe_order: Vec<id::Vm>,
+    /// Whether the current round of probes is in descending order of capacity.
+    is_strongest_first: bool,
     probe: Option<Probe>,
     relays: relays::Relays,
     last_ping_number: u64,
@@ -100,6 +102,7 @@
             suspicions: suspicions::Suspicions::default(),
             view: Arc::default(),
             probe_order: Vec::new(),
+            is_strongest_first: false,
             probe: None,
             relays: relays::Relays::default(),
             last_ping_number: 0,
--- a/crates/policy/src/membership/protocol/probe.rs
+++ b/crates/policy/src/membership/protocol/probe.rs
@@ -57,7 +57,7 @@
     }
 
     /// Returns the next live member of the region to probe. Each round visits every member once, in
-    /// random order.
+    /// random order, or that of [`Self::probe_strongest_first`].
     pub(super) fn next_probe_target(&mut self) -> Option<record::Record> {
         for _ in 0..2 {
             while let Some(vm) = self.probe_order.pop() {
@@ -69,13 +69,18 @@
             let mut probe_order = self.view().peers.clone();
             probe_order.shuffle(&mut self.rng);
             self.probe_order = probe_order;
+            self.is_strongest_first = false;
         }
         None
     }
 
-    /// Begins a round with the strongest members that are not suspected. Others may be lost with the one
-    /// that did not answer, and callers are sent to the strongest.
+    /// Begins a round with the strongest members that are not suspected, unless one is under way, which
+    /// visits every member as well. Others may be lost with the one that did not answer, and callers are
+    /// sent to the strongest.
     fn probe_strongest_first(&mut self) {
+        if std::mem::replace(&mut self.is_strongest_first, true) {
+            return;
+        }
         let mut probe_order = self.view().peers.clone();
         probe_order.shuffle(&mut self.rng);
         let alive_capacity = |vm: &id::Vm| {
--- a/tests/all/gateway.rs
+++ b/tests/all/gateway.rs
@@ -50,21 +50,10 @@
         .send("GET", "/new/x", "m1")
         .await
         .expect("response");
-    let mut rules = gateway::rules();
-    rules.push(gateway::route("/new/", "safe", gateway::SERVICE));
 
-    gateway
-        .registry
-        .put("config", "main", &gateway::configuration(9, &rules));
+    gateway.add_route("/new/").await;
 
     assert_eq!(missing.status, 404);
-    for daemon in &gateway.daemons {
-        wait::until("new route is in force", || async {
-            let reply = daemon.send("GET", "/new/x", "m2").await;
-            reply.is_ok_and(|reply| reply.status == 200)
-        })
-        .await;
-    }
 }
 
 #[tokio::test(flavor = "multi_thread")]
--- a/tests/all/gateway/severed.rs
+++ b/tests/all/gateway/severed.rs
@@ -2,8 +2,7 @@
 
 use std::time::Duration;
 
-use crate::fixture::gateway::{self, Gateway};
-use crate::fixture::wait;
+use crate::fixture::gateway::Gateway;
 
 /// Time after a disturbance of its connections from which the bounds on changes hold for a daemon.
 const STABILITY_WINDOW: Duration = Duration::from_secs(3);
@@ -12,20 +11,10 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_configuration_after_open_connections_went_silent_applies_on_every_daemon() {
     let gateway = Gateway::start(3, 2).await;
-    let mut rules = gateway::rules();
-    rules.push(gateway::route("/new/", "safe", gateway::SERVICE));
 
     gateway.sever_connections();
-    let configuration = gateway::configuration(9, &rules);
-    gateway.registry.put("config", "main", &configuration);
-
-    for daemon in &gateway.daemons {
-        wait::until("new route is in force", || async {
-            let reply = daemon.send("GET", "/new/x", "m2").await;
-            reply.is_ok_and(|reply| reply.status == 200)
-        })
-        .await;
-    }
+
+    gateway.add_route("/new/").await;
 }
 
 /// Guards against a leaving server that is sent requests as its leaving is not heard of (DRAIN), and
