Tests of idle servers: one daemon left, an allowance, and a check that was too weak

Cause: the check that replaced 'requests stay at the servers that are trusted' was weaker than the one before it. With servers covered after 100 ms (a mutation) it still passed, as it counted only attempts after 900 ms without one.

Change: fewer than half of the servers may get more than one request in each period, which is the old check beyond what idle servers are given. It fails with that mutation and passes without. Two tests are new: an allowance that rejects 45% of the requests, and one daemon left of four.

--- a/crates/policy/tests/selector/coverage.rs
+++ b/crates/policy/tests/selector/coverage.rs
@@ -1,7 +1,7 @@
 //! Few requests, many servers in doubt: demand is at its trough, responses are lost on the way from
 //! all servers, and unrepeatable requests alone are there to find out which servers are healthy.
 
-use std::collections::{BTreeSet, VecDeque};
+use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
 use monsooncart_policy::{action, handle, inventory, outcome, rank};
@@ -42,7 +42,8 @@
 /// The results of a window.
 #[derive(Debug, Default)]
 struct Window {
-    used_servers: BTreeSet<u32>,
+    /// Number of attempts by server.
+    attempts: BTreeMap<u32, u64>,
     grounds: Vec<action::Grounds>,
     failed: u32,
     requests: u32,
@@ -79,7 +80,7 @@
             }
             window.requests += 1;
             for sent in fixture::sent_attempts(&harness.arrive(false)) {
-                window.used_servers.insert(sent.server.0);
+                *window.attempts.entry(sent.server.0).or_default() += 1;
                 window.grounds.push(sent.grounds);
                 jobs.push_back(Job {
                     attempt: sent.attempt,
@@ -100,7 +101,7 @@
     let windows = run(12, losses_start);
 
     for (number, window) in windows.iter().enumerate().skip(losses_start + 1) {
-        let share = window.used_servers.len() as f64 / f64::from(SERVERS);
+        let share = window.attempts.len() as f64 / f64::from(SERVERS);
         let fails_much = window.failed * 10 > window.requests;
         assert!(
             share >= FLOOR_SHARE || !fails_much,
@@ -111,8 +112,8 @@
     }
 }
 
-/// Guards against requests that are risked for nothing: a server in use needs none for the sake of its
-/// use, and one that is idle has one in each period.
+/// Guards against requests that are risked for nothing: but for one of each period, which an idle server
+/// is given, they stay at the servers that are trusted, which are fewer than half.
 #[test]
 fn without_failures_requests_are_given_to_idle_servers_only_once_in_a_while() {
     let windows = run(6, usize::MAX);
@@ -122,9 +123,12 @@
         .grounds
         .iter()
         .filter(|g| g.idle_millis >= MIN_IDLE_MILLIS);
-    let most = u64::from(SERVERS) * (WINDOW.as_millis() as u64).div_ceil(MIN_IDLE_MILLIS);
+    let most_each = (WINDOW.as_millis() as u64).div_ceil(MIN_IDLE_MILLIS);
+    let most = u64::from(SERVERS) * most_each;
+    let trusted = last.attempts.values().filter(|n| **n > most_each);
     assert_eq!(last.failed, 0);
     assert!(idle.count() as u64 <= most, "{last:?}");
+    assert!(trusted.count() * 2 < SERVERS as usize, "{last:?}");
     let risk: u32 = last.grounds.iter().map(|g| g.risk).sum();
     assert!(risk <= MAX_MEAN_RISK * last.requests, "{last:?}");
 }
--- a/crates/policy/tests/selector/idle_servers.rs
+++ b/crates/policy/tests/selector/idle_servers.rs
@@ -70,6 +70,8 @@
     daemons: Vec<Daemon>,
     starts: u64,
     sent: u64,
+    /// Of a hundred requests, this many are rejected by an allowance and never reach a policy.
+    rejected_percent: u64,
     jobs: VecDeque<Job>,
     reports: VecDeque<Report>,
     /// Attempts with their times and servers.
@@ -103,6 +105,7 @@
             daemons: Vec::new(),
             starts: seed * 1000,
             sent: 0,
+            rejected_percent: 0,
             jobs: VecDeque::new(),
             reports: VecDeque::new(),
             attempts: Vec::new(),
@@ -152,6 +155,9 @@
 
     fn send(&mut self) {
         self.sent += 1;
+        if rank::hash(&self.sent.to_le_bytes()) % 100 < self.rejected_percent {
+            return;
+        }
         let running = |daemon: &usize| self.daemons[*daemon].state != State::Frozen;
         let running: Vec<_> = (0..DAEMONS).filter(running).collect();
         let pick = rank::hash(&self.sent.to_be_bytes()) as usize % running.len();
@@ -271,6 +277,29 @@
     assert!(share >= FLOOR_SHARE, "{share:.2} of the servers");
 }
 
+/// Guards against healthy servers without requests while an allowance rejects a part of the requests,
+/// which no policy sees (FLOOR).
+#[test]
+fn healthy_servers_get_requests_while_an_allowance_rejects_many() {
+    let share = least_share(|fleet| {
+        fleet.rejected_percent = 45;
+        fleet.run(Duration::from_secs(20));
+    });
+
+    assert!(share >= FLOOR_SHARE, "{share:.2} of the servers");
+}
+
+/// Guards against servers whose requests were the task of daemons that are lost, all but one (FLOOR).
+#[test]
+fn healthy_servers_get_requests_while_one_daemon_is_left() {
+    let share = least_share(|fleet| {
+        fleet.set_states(&[0, 1, 2], State::Frozen);
+        fleet.run(Duration::from_secs(12));
+    });
+
+    assert!(share >= FLOOR_SHARE, "{share:.2} of the servers");
+}
+
 /// Guards against servers whose requests were one daemon's task, and that is gone (FLOOR).
 #[test]
 fn healthy_servers_get_requests_while_daemons_restart() {
