--- a/crates/policy/src/selector/coverage.rs
+++ b/crates/policy/src/selector/coverage.rs
@@ -33,8 +33,9 @@
 /// Share of the servers that is to be in use, whether or not that takes servers in doubt.
 const TARGET_SHARE: f64 = 0.85;
 
-/// Probability of failure above which a server is in doubt: that of one of which nothing is known.
-const DOUBT_RISK: f64 = 0.2;
+/// Probability of failure above which a server is in doubt. Well above that of a server of which nothing
+/// is known, to which the belief decays, so that doubt ends some seconds after a failure.
+const DOUBT_RISK: f64 = 0.25;
 
 /// Probability of failure above which a server is given no request for the sake of its use.
 const MAX_RISK: f64 = 0.4;
