--- a/crates/policy/src/balancer.rs
+++ b/crates/policy/src/balancer.rs
@@ -118,6 +118,10 @@
         }
     }
 
+    fn is_suspected(&self, fingerprint: handle::Fingerprint) -> bool {
+        self.poison.is_suspected(fingerprint)
+    }
+
     fn digest(&mut self, now: time::Time) -> Vec<(handle::Server, event::Digest)> {
         let digest = |b: &backend::Backend| b.digest(now, &self.limits);
         let digests = self.backends.iter().map(|b| (b.spec.handle, digest(b)));
--- a/crates/policy/src/event.rs
+++ b/crates/policy/src/event.rs
@@ -29,7 +29,7 @@
     pub expected_response_bytes: u64,
     /// Latest time for the response head.
     pub deadline: time::Time,
-    /// Identifies repeats of the request; `None` if its body is not known in advance.
+    /// Identifies repeats of the request, or of its head; `None` if unknown.
     pub fingerprint: Option<handle::Fingerprint>,
     /// Whether another daemon relays the request; it is not relayed again.
     pub relayed: bool,
--- a/crates/policy/src/handle.rs
+++ b/crates/policy/src/handle.rs
@@ -22,8 +22,32 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, derive_more::Display)]
 pub struct Attempt(pub u64);
 
-/// A hash of a request's method, path and body that identifies repeats of the request.
+/// A hash by which repeats of a request are recognised: of its method, path and body, or of its
+/// head alone while its body is unknown.
 #[derive(
     Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, serde::Serialize, serde::Deserialize,
 )]
 pub struct Fingerprint(pub u64);
+
+impl Fingerprint {
+    /// Set in fingerprints of heads.
+    const HEAD_BIT: u64 = 1 << 63;
+
+    /// Fingerprint of a whole request.
+    #[must_use]
+    pub fn of_request(digest: u64) -> Self {
+        Self(digest & !Self::HEAD_BIT)
+    }
+
+    /// Fingerprint of a head, which other requests may share.
+    #[must_use]
+    pub fn of_head(digest: u64) -> Self {
+        Self(digest | Self::HEAD_BIT)
+    }
+
+    /// Whether other requests may share the fingerprint.
+    #[must_use]
+    pub fn is_of_head(self) -> bool {
+        self.0 & Self::HEAD_BIT != 0
+    }
+}
--- a/crates/policy/src/poison.rs
+++ b/crates/policy/src/poison.rs
@@ -3,6 +3,10 @@
 //! A fingerprint whose attempts broke connections on two servers is quarantined for a time. After
 //! its first crash its attempts go to one server at a time, so that it crashes at most two. An
 //! answer clears the record: a request that a server can answer is not poison.
+//!
+//! A head may be shared by requests with different bodies. Its crash makes it suspected until the
+//! record expires, so that requests with this head are recognised by their bodies before they are
+//! sent; it is never quarantined.
 
 use std::time::Duration;
 
@@ -65,10 +69,13 @@
         self.crashes.contains_key(&fingerprint)
     }
 
-    /// The server that crashed on a fingerprint, if any.
+    /// The server that crashed on a request, if any.
     #[must_use]
     pub fn crashed_server(&self, fingerprint: handle::Fingerprint) -> Option<handle::Server> {
-        self.crashes.get(&fingerprint).map(|c| c.server)
+        let crash = self.crashes.get(&fingerprint);
+        crash
+            .filter(|_| !fingerprint.is_of_head())
+            .map(|crash| crash.server)
     }
 
     /// Records that an attempt broke its connection, with the evidence that this added against the
@@ -82,6 +89,7 @@
     ) -> Verdict {
         if let Some(crash) = self.crashes.get(&fingerprint)
             && crash.server != server
+            && !fingerprint.is_of_head()
         {
             let verdict = Verdict::Poison {
                 first_server: crash.server,
@@ -105,13 +113,16 @@
 
     /// Records that an attempt was answered, which clears its crash record.
     pub fn record_answer(&mut self, fingerprint: handle::Fingerprint) {
-        if !self.crashes.is_empty() {
+        if !self.crashes.is_empty() && !fingerprint.is_of_head() {
             self.crashes.remove(&fingerprint);
         }
     }
 
     /// Quarantines a fingerprint until `expires_at`, unless it is already quarantined for longer.
     pub fn quarantine(&mut self, fingerprint: handle::Fingerprint, expires_at: time::Time) {
+        if fingerprint.is_of_head() {
+            return;
+        }
         let full = self.quarantines.len() >= MAX_FINGERPRINTS;
         if full && !self.quarantines.contains_key(&fingerprint) {
             return;
--- a/crates/policy/src/selector.rs
+++ b/crates/policy/src/selector.rs
@@ -107,6 +107,10 @@
             && !self.path.is_lost()
     }
 
+    fn is_suspected(&self, fingerprint: handle::Fingerprint) -> bool {
+        self.poison.is_suspected(fingerprint) || self.path.may_have_crashed(fingerprint)
+    }
+
     fn digest(&mut self, _now: time::Time) -> Vec<(handle::Server, event::Digest)> {
         let servers = self.servers.iter_mut();
         servers.filter_map(server::Server::take_digest).collect()
--- a/crates/policy/src/selector/retry.rs
+++ b/crates/policy/src/selector/retry.rs
@@ -5,7 +5,7 @@
 use monsooncart_types::time;
 
 use super::{Completion, Selector};
-use crate::{action, handle, outcome};
+use crate::{action, handle, outcome, service};
 
 /// Time after which a repeatable request is hedged, as a fraction of its latency objective.
 const HEDGE_OBJECTIVE_RATIO: f64 = 0.5;
@@ -79,7 +79,7 @@
             return;
         };
         let arrival = &pending.arrival;
-        let suspected = |f| self.poison.is_suspected(f) || self.path.may_have_crashed(f);
+        let suspected = |f| service::Policy::is_suspected(self, f);
         let hedge_after = self
             .latency_objective(arrival)
             .mul_f64(HEDGE_OBJECTIVE_RATIO);
--- a/crates/policy/src/service.rs
+++ b/crates/policy/src/service.rs
@@ -91,6 +91,11 @@
     /// server that needs a report.
     fn digest(&mut self, now: time::Time) -> Vec<(handle::Server, event::Digest)>;
 
+    /// Whether a request with this fingerprint may have crashed a server.
+    fn is_suspected(&self, _fingerprint: handle::Fingerprint) -> bool {
+        false
+    }
+
     /// Explains where a request would go that arrived now; `None` if the policy explains nothing.
     fn explain(&self, _now: time::Time, _arrival: event::Arrival) -> Option<Explanation> {
         None
--- a/crates/policy/tests/selector/outcomes.rs
+++ b/crates/policy/tests/selector/outcomes.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use monsooncart_policy::service::Policy as _;
 use monsooncart_policy::{action, event, handle, inventory, outcome};
 
 use crate::fixture::{self, MS};
@@ -154,6 +155,36 @@
     );
 }
 
+/// Guards against requests that are refused because another one with the same head crashed servers.
+#[test]
+fn a_head_that_crashed_servers_is_suspected_and_never_quarantined() {
+    let mut harness = fixture::harness((0..4).map(fixture::server).collect());
+    let head = handle::Fingerprint::of_head(5);
+    for server in 0..3 {
+        harness.handle(event::Event::CrashReport {
+            fingerprint: head,
+            server: handle::Server(server),
+        });
+    }
+    harness.handle(event::Event::Quarantine {
+        fingerprint: head,
+        expires_at: harness.now + 10_000 * MS,
+    });
+    let mut arrival = harness.arrival(false);
+    arrival.fingerprint = Some(head);
+
+    let actions = harness.handle(event::Event::Arrive(arrival));
+
+    let attempt = fixture::sent_attempts(&actions)[0].attempt;
+    harness.finish(attempt, outcome::Outcome::Answered(200));
+    assert!(harness.policy.is_suspected(head));
+    assert!(
+        !harness
+            .policy
+            .is_suspected(handle::Fingerprint::of_request(5))
+    );
+}
+
 #[test]
 fn a_server_that_reports_an_exceeded_deadline_is_not_suspect() {
     let mut harness = fixture::harness(vec![fixture::server(0)]);
--- /dev/null
+++ b/crates/proxy/src/fingerprint.rs
@@ -0,0 +1,51 @@
+//! Fingerprints of requests, by which repeats of a request are recognised.
+//!
+//! The fingerprint of a whole request is formed while its body is received. That of a head, with the
+//! length that it states, stands for all requests that could be the same one as long as their
+//! bodies are unknown.
+
+use bytes::Bytes;
+use monsooncart_policy::handle;
+use sha2::Digest as _;
+
+/// Forms the fingerprint of a whole request.
+#[derive(Clone)]
+pub struct Hasher(sha2::Sha256);
+
+impl Hasher {
+    /// Starts with the method and the target of a request.
+    pub fn new<B>(request: &http::Request<B>) -> Self {
+        let mut digest = sha2::Sha256::new();
+        let target = request.uri().path_and_query();
+        let target = target.map_or("/", |target| target.as_str());
+        for part in [request.method().as_str(), " ", target, "\n"] {
+            digest.update(part);
+        }
+        Self(digest)
+    }
+
+    /// Adds the next bytes of the body.
+    pub fn update(&mut self, bytes: &Bytes) {
+        self.0.update(bytes);
+    }
+
+    /// Fingerprint of the request, whose body has ended.
+    pub fn finish(self) -> handle::Fingerprint {
+        handle::Fingerprint::of_request(truncate(self.0))
+    }
+
+    /// Fingerprint of a head whose body has this length; `None` if the head does not state it.
+    pub fn finish_head(mut self, body_bytes: Option<u64>) -> handle::Fingerprint {
+        match body_bytes {
+            Some(bytes) => self.0.update(bytes.to_be_bytes()),
+            None => self.0.update("unknown"),
+        }
+        handle::Fingerprint::of_head(truncate(self.0))
+    }
+}
+
+fn truncate(digest: sha2::Sha256) -> u64 {
+    let mut first = [0; 8];
+    first.copy_from_slice(&digest.finalize()[..8]);
+    u64::from_be_bytes(first)
+}
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -34,6 +34,7 @@
 mod deadline;
 mod exchange;
 pub mod explain;
+mod fingerprint;
 mod forwarded;
 mod gate;
 mod header;
--- a/crates/proxy/src/request.rs
+++ b/crates/proxy/src/request.rs
@@ -10,12 +10,14 @@
 
 use bytes::Bytes;
 use http::{HeaderValue, Method, StatusCode, header as names};
+use http_body::Body as _;
 use hyper::body::Incoming;
 use monsooncart_policy::claims::ticket;
 use monsooncart_policy::{event, handle, outcome};
 
 use crate::{
-    account, activity, body, claim, engine, header, pass, permit, problem, relay, response_sizes,
+    account, activity, body, claim, engine, fingerprint, header, pass, permit, problem, relay,
+    response_sizes,
 };
 
 const ENTRIES_PATH: &str = "/v1/entries";
@@ -161,6 +163,7 @@
             .service(&service_name)
             .ok_or_else(problem::Problem::unconfigured)?;
         let permit = self.obtain_permit(&options).await?;
+        let hasher = fingerprint::Hasher::new(&request);
         let (head, incoming) = request.into_parts();
         let mut account = account::Account::new(
             shared.common.clone(),
@@ -174,15 +177,19 @@
         if let Some(request_id) = &options.caller_request_id {
             account.set_caller_request_id(request_id.clone(), options.routing_version);
         }
-        let stall_timeout = shared.common.limits().body_timeout.0;
-        let limit = options.body_limit;
-        let bodies = &shared.common.bodies;
-        let deadline = options.deadlines.request();
-        let received = inbound_body::read(bodies, incoming, limit, deadline, stall_timeout);
-        let request_body = match received.await {
-            Ok((request_body, reservation)) => {
-                account.hold(reservation);
-                request_body
+        let size = incoming.size_hint().exact();
+        let may_stream = size.is_none_or(|size| size > inbound_body::MAX_BUFFERED_BYTES);
+        let rules = inbound_body::Rules {
+            limit: options.body_limit,
+            deadline: options.deadlines.request(),
+            stall_timeout: shared.common.limits().body_timeout.0,
+            must_identify: may_stream && service.is_suspected(hasher.clone().finish_head(size)),
+        };
+        let received = inbound_body::read(&shared.common.bodies, incoming, rules, hasher);
+        let (request_body, fingerprint) = match received.await {
+            Ok(received) => {
+                account.hold(received.reservation);
+                (received.body, received.fingerprint)
             }
             Err(mut problem) => {
                 if ticket.is_some() {
@@ -218,7 +225,7 @@
                 .as_ref()
                 .map_or(0, |key| shared.common.response_sizes.mean(key)),
             deadline: self.shared.common.clock.now() + options.deadlines.remaining(),
-            fingerprint: outbound::compute_fingerprint(&head, &request_body),
+            fingerprint: Some(fingerprint),
             relayed: self.origin == Origin::Relay,
         };
         let Some(in_flight) = in_flight.take() else {
--- a/crates/proxy/src/request/inbound_body.rs
+++ b/crates/proxy/src/request/inbound_body.rs
@@ -8,15 +8,47 @@
 use http_body::Body as _;
 use http_body_util::BodyExt as _;
 use hyper::body::Incoming;
+use monsooncart_policy::handle;
 use monsooncart_types::size;
 use tokio::time::{Instant, timeout_at};
 
-use crate::{memory, payload, problem};
+use crate::{fingerprint, memory, payload, problem};
 
 /// Maximum request body that is buffered for retries.
-const MAX_BUFFERED_BYTES: u64 = 64 << 10;
+pub const MAX_BUFFERED_BYTES: u64 = 64 << 10;
 
-/// Buffers a small body; a larger one is left to be streamed.
+/// Maximum request body that is buffered to recognise a request that may have crashed a server.
+const MAX_IDENTIFIED_BYTES: u64 = 8 << 20;
+
+/// Rules for receiving a body.
+pub struct Rules {
+    /// Maximum size; unlimited if absent.
+    pub limit: Option<size::Size>,
+    pub deadline: Instant,
+    pub stall_timeout: Duration,
+    /// Whether the request has to be recognised before it is sent.
+    pub must_identify: bool,
+}
+
+/// A body that was received, or is left to be streamed.
+pub struct Received {
+    pub body: payload::Source,
+    pub reservation: memory::Reservation,
+    /// Fingerprint of the request; that of its head if the body is streamed.
+    pub fingerprint: handle::Fingerprint,
+}
+
+impl Rules {
+    fn max_buffered_bytes(&self) -> u64 {
+        match self.must_identify {
+            true => MAX_IDENTIFIED_BYTES,
+            false => MAX_BUFFERED_BYTES,
+        }
+    }
+}
+
+/// Buffers a small body, whose request can then be retried; a larger one is left to be streamed. A
+/// request that has to be recognised is buffered as far as the memory for bodies permits.
 ///
 /// # Errors
 ///
@@ -24,36 +56,54 @@
 pub async fn read(
     bound: &Arc<memory::Bound>,
     mut incoming: Incoming,
-    limit: Option<size::Size>,
-    deadline: Instant,
-    stall_timeout: Duration,
-) -> Result<(payload::Source, memory::Reservation), problem::Problem> {
-    let limit_bytes = limit.map_or(u64::MAX, |limit| limit.0);
+    rules: Rules,
+    mut hasher: fingerprint::Hasher,
+) -> Result<Received, problem::Problem> {
+    let limit_bytes = rules.limit.map_or(u64::MAX, |limit| limit.0);
     let size = incoming.size_hint().exact();
     if size.is_some_and(|size| size > limit_bytes) {
         return Err(problem::Problem::too_large(limit_bytes));
     }
     let mut reservation = bound.reserve(size.unwrap_or(0).min(memory::STREAM_BYTES))?;
-    if size.is_some_and(|size| size > MAX_BUFFERED_BYTES) {
-        let stream = payload::Stream::new(Bytes::new(), incoming, limit_bytes, stall_timeout);
-        return Ok((payload::Source::Streamed(Arc::new(stream)), reservation));
-    }
+    let head = hasher.clone();
+    let mut max_buffered_bytes = rules.max_buffered_bytes();
     let mut buffered = BytesMut::new();
-    while buffered.len() as u64 <= MAX_BUFFERED_BYTES {
-        let frame_deadline = deadline.min(Instant::now() + stall_timeout);
+    if size.is_some_and(|size| size > max_buffered_bytes) {
+        max_buffered_bytes = 0;
+    } else if let Some(size) = size.filter(|size| *size > MAX_BUFFERED_BYTES)
+        && reservation.extend(size).is_err()
+    {
+        max_buffered_bytes = 0;
+    }
+    while max_buffered_bytes > 0 && buffered.len() as u64 <= max_buffered_bytes {
+        let frame_deadline = rules.deadline.min(Instant::now() + rules.stall_timeout);
         let frame = timeout_at(frame_deadline, incoming.frame()).await;
         let frame = frame.map_err(|_| {
             let status = StatusCode::REQUEST_TIMEOUT;
             problem::Problem::not_run(status, "body-stalled", "request body did not come")
         })?;
         match frame {
-            None => return Ok((payload::Source::Buffered(buffered.freeze()), reservation)),
+            None => {
+                return Ok(Received {
+                    body: payload::Source::Buffered(buffered.freeze()),
+                    reservation,
+                    fingerprint: hasher.finish(),
+                });
+            }
             Some(Ok(frame)) => {
-                let data: &[u8] = frame.data_ref().map_or(&[], |d| d);
+                let data = frame.into_data().unwrap_or_default();
+                buffered.extend_from_slice(&data);
+                hasher.update(&data);
                 if size.is_none() {
-                    reservation.extend(data.len() as u64)?;
+                    let is_small = buffered.len() as u64 <= MAX_BUFFERED_BYTES;
+                    match reservation.extend(data.len() as u64) {
+                        Ok(()) => {}
+                        Err(problem) if is_small || !rules.must_identify => {
+                            return Err(problem);
+                        }
+                        Err(_) => max_buffered_bytes = 0,
+                    }
                 }
-                buffered.extend_from_slice(data);
             }
             Some(Err(_)) => return Err(problem::Problem::malformed("request body was cut short")),
         }
@@ -61,6 +111,11 @@
             return Err(problem::Problem::too_large(limit_bytes));
         }
     }
-    let stream = payload::Stream::new(buffered.freeze(), incoming, limit_bytes, stall_timeout);
-    Ok((payload::Source::Streamed(Arc::new(stream)), reservation))
+    let prefix: Bytes = buffered.freeze();
+    let stream = payload::Stream::new(prefix, incoming, limit_bytes, rules.stall_timeout);
+    Ok(Received {
+        body: payload::Source::Streamed(Arc::new(stream)),
+        reservation,
+        fingerprint: head.finish_head(size),
+    })
 }
--- a/crates/proxy/src/request/outbound.rs
+++ b/crates/proxy/src/request/outbound.rs
@@ -2,11 +2,9 @@
 
 use http::{HeaderValue, header as names};
 use monsooncart_policy::claims::ticket;
-use monsooncart_policy::handle;
-use sha2::Digest as _;
 
 use super::options;
-use crate::{common, header, payload};
+use crate::{common, header};
 
 /// Builds the head that is sent to a server.
 pub fn build_head(
@@ -58,24 +56,3 @@
         headers.insert(names::COOKIE, joined);
     }
 }
-
-/// Computes a fingerprint by which repeats of a request are recognised; `None` if its body is
-/// streamed.
-pub fn compute_fingerprint(
-    head: &http::request::Parts,
-    request_body: &payload::Source,
-) -> Option<handle::Fingerprint> {
-    let payload::Source::Buffered(bytes) = request_body else {
-        return None;
-    };
-    let mut digest = sha2::Sha256::new();
-    let target = head.uri.path_and_query().map_or("/", |p| p.as_str());
-    for part in [head.method.as_str(), " ", target, "\n"] {
-        digest.update(part);
-    }
-    digest.update(bytes);
-    let digest = digest.finalize();
-    let mut first = [0; 8];
-    first.copy_from_slice(&digest[..8]);
-    Some(handle::Fingerprint(u64::from_be_bytes(first)))
-}
--- a/crates/proxy/src/service.rs
+++ b/crates/proxy/src/service.rs
@@ -292,6 +292,13 @@
         state.policy.explain(self.common.clock.now(), arrival)
     }
 
+    /// Whether a request with this fingerprint may have crashed a server.
+    pub fn is_suspected(&self, fingerprint: handle::Fingerprint) -> bool {
+        let state = lock(&self.state);
+        let policy = state.as_ref().map(|state| &state.policy);
+        policy.is_some_and(|policy| policy.is_suspected(fingerprint))
+    }
+
     /// Submits a request to the policy.
     pub fn submit(self: &Arc<Self>, arrival: event::Arrival) -> pending::Request {
         let (sender, commands) = mpsc::unbounded_channel();
--- a/crates/testbed/src/worker.rs
+++ b/crates/testbed/src/worker.rs
@@ -63,6 +63,8 @@
     arrivals: Vec<Instant>,
     /// Id of the server that replaced it at its address.
     successor: Option<String>,
+    /// Text in a request that makes the server reset the connection.
+    poison: Option<String>,
 }
 
 impl State {
@@ -89,9 +91,16 @@
 /// The parts of a request that the server reads.
 struct Request {
     head: String,
+    body: String,
     id: String,
 }
 
+impl Request {
+    fn contains(&self, text: &str) -> bool {
+        self.head.contains(text) || self.body.contains(text)
+    }
+}
+
 impl Worker {
     /// Creates a server that responds correctly.
     #[must_use]
@@ -132,6 +141,11 @@
         self.state().retry_after = seconds;
     }
 
+    /// Makes it execute requests that contain this text, and then reset the connection.
+    pub fn set_poison(&self, text: &str) {
+        self.state().poison = Some(text.to_owned());
+    }
+
     /// Makes its responses announce that it is leaving.
     pub fn announce_leaving(&self) {
         self.state().announces_leaving = true;
@@ -211,10 +225,12 @@
                 let mut state = self.state();
                 state.heads.push(request.head.clone());
                 state.arrivals.push(Instant::now());
+                let poison = state.poison.as_ref();
+                let is_poison = poison.is_some_and(|text| request.contains(text));
                 match state.successor {
                     Some(_) => (Mode::Misdirected, Duration::ZERO, String::new(), None),
                     None => (
-                        state.mode,
+                        if is_poison { Mode::Reset } else { state.mode },
                         state.delay,
                         state.announcements(),
                         state.retry_after,
@@ -301,15 +317,19 @@
 /// Reads a complete request; `None` if the connection was closed or the request is too large.
 async fn read_request(stream: &mut TcpStream) -> io::Result<Option<Request>> {
     let mut bytes = Vec::new();
-    let mut chunk = [0; 4096];
+    let mut chunk = vec![0; 64 << 10];
     loop {
         let text = String::from_utf8_lossy(&bytes).into_owned();
         if let Some((head, body)) = text.split_once("\r\n\r\n") {
             let length = header(head, "content-length").and_then(|l| l.parse().ok());
-            if body.len() >= length.unwrap_or(0) {
+            let is_whole = match header(head, "transfer-encoding") {
+                Some(_) => body.ends_with("0\r\n\r\n"),
+                None => body.len() >= length.unwrap_or(0),
+            };
+            if is_whole {
                 let id = header(head, "x-attempt-id").unwrap_or_default();
-                let head = head.to_owned();
-                return Ok(Some(Request { head, id }));
+                let (head, body) = (head.to_owned(), body.to_owned());
+                return Ok(Some(Request { head, body, id }));
             }
         }
         let count = stream.read(&mut chunk).await?;
--- a/tests/all/gateway.rs
+++ b/tests/all/gateway.rs
@@ -3,6 +3,7 @@
 mod announcements;
 mod organisations;
 mod partition;
+mod poison;
 mod severed;
 mod store_epochs;
 
