A crash is not put down to the path because a server that is down was probed (BUDGET)

A request that crashes servers reached up to nine of them before it was quarantined, as most of its crashes were never recorded. Requests of any size are concerned.

Cause: a connection that breaks without a response is attributed once probes show whether the path to the servers is there. Two servers are probed. If one was still down from an earlier crash, its failure confirmed a loss of the path, even if the other one responded, and all failures of a confirmed loss are dropped. Besides, a crash was dropped if any server had responded on a new connection while the request was running.

A probe beside which another one succeeds confirms nothing now; servers that have not failed are probed first; a crash is kept for attribution unless a confirmed loss ended since the request was sent.

--- a/crates/policy/src/path.rs
+++ b/crates/policy/src/path.rs
@@ -47,8 +47,10 @@
     /// Failures since the last response, at most one for each server.
     failures: Vec<Failure>,
     lost_since: Option<time::Time>,
-    /// Whether a probe got no response since the path was lost.
-    confirmed: bool,
+    /// When the first probe was sent that got no response since the path was lost.
+    confirmed_at: Option<time::Time>,
+    /// When the path was there again after a confirmed loss.
+    regained_at: time::Time,
     /// Opening time of the newest connection on which a response was received.
     proven_at: time::Time,
     probed_at: Option<time::Time>,
@@ -71,19 +73,23 @@
     /// sent to. Returns whether the path is lost from now on.
     pub fn record_failure(&mut self, failure: Failure, server_count: usize) -> bool {
         let now = failure.failed_at;
-        if failure.sent_at < self.proven_at {
-            // The path has come back since it was sent.
+        if failure.sent_at < self.regained_at {
+            return false;
+        }
+        if failure.sent_at < self.proven_at && failure.fingerprint.is_none() {
+            // The path has been there since it was sent.
             return false;
         }
         self.failures
             .retain(|f| f.server != failure.server && now.since(f.failed_at) < FAILURE_LIFETIME);
         self.failures.push(failure);
-        let is_lost = self.failures.len() >= MIN_SUSPECTS.min(server_count.max(1));
+        let unproven = self.failures.iter().filter(|f| f.sent_at >= self.proven_at);
+        let is_lost = unproven.count() >= MIN_SUSPECTS.min(server_count.max(1));
         if !is_lost || self.is_lost() {
             return false;
         }
         self.lost_since = Some(now);
-        self.confirmed = false;
+        self.confirmed_at = None;
         self.probed_at = None;
         true
     }
@@ -91,7 +97,13 @@
     /// Records a probe of a server to which there was no response, like [`Path::record_failure`].
     pub fn record_failed_probe(&mut self, failure: Failure, server_count: usize) -> bool {
         let is_newly_lost = self.record_failure(failure, server_count);
-        self.confirmed |= self.is_lost() && failure.sent_at >= self.proven_at;
+        if self.is_lost() && failure.sent_at >= self.proven_at {
+            let sent_at = failure.sent_at;
+            let first = self
+                .confirmed_at
+                .map_or(sent_at, |first| first.min(sent_at));
+            self.confirmed_at = Some(first);
+        }
         is_newly_lost
     }
 
@@ -104,7 +116,7 @@
 
     /// Records a response on a connection that was opened at `opened_at`. Returns the failures before
     /// that which were the servers', and whether the path was lost. Those of a loss that a probe
-    /// confirmed were not.
+    /// confirmed were not; a probe beside which another one succeeded confirms nothing.
     pub fn record_response(&mut self, opened_at: time::Time) -> (Vec<Failure>, bool) {
         self.proven_at = self.proven_at.max(opened_at);
         let is_proof = |f: &mut Failure| f.failed_at <= opened_at;
@@ -114,10 +126,18 @@
             return (servers_fault, false);
         }
         self.lost_since = None;
-        match std::mem::take(&mut self.confirmed) {
-            true => (Vec::new(), true),
-            false => (servers_fault, true),
+        let confirmed_at = self.confirmed_at.take();
+        if confirmed_at.is_none_or(|sent_at| opened_at.since(sent_at) < PROBE_INTERVAL) {
+            return (servers_fault, true);
         }
+        self.regained_at = opened_at;
+        (Vec::new(), true)
+    }
+
+    /// Whether a server has failed since the last response.
+    #[must_use]
+    pub fn has_failed(&self, server: handle::Server) -> bool {
+        self.failures.iter().any(|f| f.server == server)
     }
 
     /// Whether to probe servers now: probes are due, and the path is lost or `in_doubt`. Starts the
--- a/crates/policy/src/selector/path_loss.rs
+++ b/crates/policy/src/selector/path_loss.rs
@@ -297,7 +297,7 @@
         }
     }
 
-    /// Probes the server from which a response is missing, and others.
+    /// Probes the server from which a response is missing, and others, first those that have not failed.
     fn send_probes(
         &mut self,
         silent_server: Option<handle::Server>,
@@ -305,10 +305,15 @@
     ) {
         let available = self.servers.iter().filter(|s| !s.is_unavailable());
         let others = available.map(|server| server.spec.handle);
-        let others: Vec<_> = others.filter(|s| Some(*s) != silent_server).collect();
+        let others = others.filter(|s| Some(*s) != silent_server);
+        let (failed, sound): (Vec<_>, Vec<_>) = others.partition(|s| self.path.has_failed(*s));
         let count = path::PROBED_SERVERS - usize::from(silent_server.is_some());
-        let others = others.sample(&mut self.rng, count).copied();
-        let probed = silent_server.into_iter().chain(others);
+        let sound: Vec<_> = sound.sample(&mut self.rng, count).copied().collect();
+        let failed: Vec<_> = failed
+            .sample(&mut self.rng, count - sound.len())
+            .copied()
+            .collect();
+        let probed = silent_server.into_iter().chain(sound).chain(failed);
         actions.extend(probed.map(action::Action::ProbePath));
     }
 
--- a/crates/policy/tests/selector/path_loss.rs
+++ b/crates/policy/tests/selector/path_loss.rs
@@ -353,6 +353,58 @@
     assert_eq!(second.iter().filter(|a| is_quarantine(a)).count(), 1);
 }
 
+/// Guards against a crash that is put down to the path, since a server that crashed before is probed
+/// beside a sound one (BUDGET).
+#[test]
+fn a_crash_is_recorded_although_a_probe_of_another_crashed_server_fails() {
+    for sound_responds_first in [false, true] {
+        let mut harness = harness(4);
+        let fingerprint = handle::Fingerprint(5);
+        let mut actions = break_request(&mut harness, fingerprint);
+        let probed = probed_servers(&actions);
+        let probe = |server, sent_at, responded| event::Event::PathProbe {
+            server,
+            sent_at,
+            responded,
+        };
+        let (first, second) = (harness.now, harness.now + MS);
+        let mut probes = [
+            probe(probed[0], first, false),
+            probe(probed[1], second, true),
+        ];
+        if sound_responds_first {
+            probes.reverse();
+        }
+
+        for probe in probes {
+            actions.extend(harness.handle(probe));
+        }
+
+        assert_eq!(actions.iter().filter(|a| is_crash_report(a)).count(), 1);
+    }
+}
+
+/// Guards against a crash that is not recorded, since another server responded on a new connection
+/// while the request was running (BUDGET).
+#[test]
+fn a_crash_is_recorded_after_a_response_while_the_request_was_running() {
+    let mut harness = harness(4);
+    let mut arrival = harness.arrival(false);
+    arrival.fingerprint = Some(handle::Fingerprint(5));
+    let running = sent_attempts(&harness.handle(event::Event::Arrive(arrival)))[0];
+    harness.advance(10 * MS);
+    let other = sent_attempts(&harness.arrive(false))[0];
+    respond(&mut harness, other.attempt);
+    harness.finish(other.attempt, outcome::Outcome::Answered(200));
+    harness.advance(10 * MS);
+
+    let mut actions = harness.finish(running.attempt, outcome::Outcome::Broken);
+    harness.advance(MS);
+    actions.extend(answer_probes(&mut harness, &actions.clone(), true));
+
+    assert_eq!(actions.iter().filter(|a| is_crash_report(a)).count(), 1);
+}
+
 /// Guards against servers that are doubted after a loss of the path (RECOVER).
 #[test]
 fn failures_of_a_confirmed_loss_are_no_evidence_about_servers_once_the_path_is_back() {
