Reports wait for the configuration of what they are about (BUDGET)

A daemon that was restarted forwarded a quarantined request and crashed two more servers with it, on each restart.

Cause: the retained quarantine reaches a new daemon before its first configuration. Each of the engine's methods for reports looked up the service and dropped the report if it was not there; the update counts as received and is not sent again. Reports about leaving runs alone were remembered.

Engine::report takes every kind of report now. One about a service or a server that is not configured yet waits in a backlog, bounded in number and time, and is applied in order once a configuration has its subject. Kinds that are repeated while they hold do not wait. A crash report names its server whether or not it is configured, as a crashed server may be gone or back under another id.

--- a/crates/daemon/src/floors/task.rs
+++ b/crates/daemon/src/floors/task.rs
@@ -8,6 +8,7 @@
 use monsooncart_cluster::scope;
 use monsooncart_config::service;
 use monsooncart_policy::floor::{action, controller, event, mark, record, request, storage};
+use monsooncart_proxy::report;
 use monsooncart_store::{error, object, store};
 use monsooncart_types::{id, instance, map};
 use monsooncart_wire::{floor, update};
@@ -344,7 +345,7 @@
                 action::Action::Report { server, ejection } => {
                     log::info!(service:% = service, server:% = server, ejection:% = ejection; "floor: ejection state changed");
                     if let Some(proxy) = self.core.proxy() {
-                        proxy.record_ejection(service, &server, ejection);
+                        proxy.report(service, report::Report::Ejection { server, ejection });
                     }
                 }
                 action::Action::Stopped => {}
--- a/crates/daemon/src/rpc.rs
+++ b/crates/daemon/src/rpc.rs
@@ -8,6 +8,7 @@
 use monsooncart_cluster::{handler, relay};
 use monsooncart_policy::claims::{claim, handover as claims_handover, table};
 use monsooncart_policy::floor::{event, storage};
+use monsooncart_proxy::report;
 use monsooncart_types::id;
 use monsooncart_wire::{claims as wire, floor, update, usage};
 
@@ -37,10 +38,18 @@
         }
     }
 
-    fn record_leaving(&self, service: id::Service, server: id::Server, started_millis: u64) {
+    fn report(&self, service: &id::Service, report: report::Report) {
         if let Some(proxy) = self.core.proxy() {
-            proxy.record_leaving(&service, &server, started_millis);
+            proxy.report(service, report);
         }
+    }
+
+    fn record_leaving(&self, service: id::Service, server: id::Server, started_millis: u64) {
+        let leaving = report::Report::Leaving {
+            server: server.clone(),
+            started_millis,
+        };
+        self.report(&service, leaving);
         self.send_to_floors(floors::Input::ServerLeaving(service, server));
     }
 }
@@ -168,10 +177,9 @@
                 from,
                 digests,
             } => {
-                if let Some(proxy) = self.core.proxy() {
-                    let pairs = digests.into_iter().map(|e| (e.server, e.digest));
-                    proxy.merge_evidence(&service, from, pairs.collect());
-                }
+                let pairs = digests.into_iter().map(|e| (e.server, e.digest));
+                let digests = pairs.collect();
+                self.report(&service, report::Report::Evidence { from, digests });
             }
             update::Update::Leaving { service, server } => self.record_leaving(service, server, 0),
             update::Update::RunLeaving {
@@ -184,18 +192,22 @@
                 fingerprint,
                 server,
             } => {
-                if let Some(proxy) = self.core.proxy() {
-                    proxy.record_crash(&service, fingerprint, &server);
-                }
+                let crash = report::Report::Crash {
+                    fingerprint,
+                    server,
+                };
+                self.report(&service, crash);
             }
             update::Update::Quarantine {
                 service,
                 fingerprint,
                 span,
             } => {
-                if let Some(proxy) = self.core.proxy() {
-                    proxy.quarantine(&service, fingerprint, span.min(MAX_QUARANTINE));
-                }
+                let quarantine = report::Report::Quarantine {
+                    fingerprint,
+                    duration: span.min(MAX_QUARANTINE),
+                };
+                self.report(&service, quarantine);
             }
             update::Update::RateLimit {
                 service,
@@ -203,9 +215,12 @@
                 started_millis,
                 limit,
             } => {
-                if let Some(proxy) = self.core.proxy() {
-                    proxy.record_rate_limit(&service, &server, started_millis, limit);
-                }
+                let rate_limit = report::Report::RateLimit {
+                    server,
+                    started_millis,
+                    limit,
+                };
+                self.report(&service, rate_limit);
             }
             update::Update::Mark { service, mark } => {
                 let event = event::Event::Mark(mark);
@@ -227,8 +242,8 @@
                 if let Some(paths) = &self.core.gateway_paths {
                     paths.record(from, service.clone(), number, lost);
                 }
-                if let Some(proxy) = self.core.proxy().filter(|_| lost) {
-                    proxy.check_path(&service);
+                if lost {
+                    self.report(&service, report::Report::PathLost);
                 }
             }
             update::Update::AllowanceReport(report) => {
--- a/crates/proxy/src/engine.rs
+++ b/crates/proxy/src/engine.rs
@@ -9,14 +9,16 @@
 use monsooncart_policy::service::View;
 use monsooncart_policy::{event, handle, stop};
 use monsooncart_task as task;
-use monsooncart_types::{id, instance, map, rate};
+use monsooncart_types::{id, map};
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
 use tokio::time::{Instant, MissedTickBehavior, interval};
 use tokio_util::task::TaskTracker;
 
 use crate::lock::lock;
-use crate::{common, decision, listener, relay, request, router, service, split, trace};
+use crate::{
+    backlog, common, decision, listener, relay, report, request, router, service, split, trace,
+};
 
 /// Number of shards that the services are divided into.
 const SHARDS: usize = 16;
@@ -46,6 +48,8 @@
     shards: Vec<Shard>,
     /// Connections over which other daemons have requests relayed.
     pub relayed_connections: TaskTracker,
+    /// Reports that wait for a configuration.
+    backlog: backlog::Backlog,
     /// Serialises configuration changes.
     config_lock: Mutex<()>,
 }
@@ -102,6 +106,7 @@
             splitter: split::Splitter::default(),
             shards,
             relayed_connections: TaskTracker::new(),
+            backlog: backlog::Backlog::default(),
             config_lock: Mutex::default(),
         });
         for activation_receiver in activation_receivers {
@@ -131,6 +136,7 @@
             }
             router.insert(spec);
             self.apply_service(spec);
+            self.apply_waiting_reports(&spec.name);
         }
         for spec in old.services() {
             if snapshot.service(&spec.name).is_none() {
@@ -174,135 +180,62 @@
         }
     }
 
-    /// Passes the decision about an ejection to the policy of the service.
-    pub fn record_ejection(
-        &self,
-        service: &id::Service,
-        server: &id::Server,
-        ejection: event::Ejection,
-    ) {
-        let Some(known) = self.shared.service(service) else {
-            return;
-        };
-        let Some(handle) = known.server_handle(server) else {
-            return;
-        };
-        let kind = match ejection {
-            event::Ejection::Granted => decision::Kind::Granted,
-            event::Ejection::Denied => decision::Kind::Denied,
-            event::Ejection::Restored => decision::Kind::Restored,
-        };
-        log::info!(service:%, server:%, ejection:%; "health: received decision on ejection");
-        let decisions = &self.shared.common.decisions;
-        decisions.push(kind, service, Some(server.clone()), None, String::new());
-        known.handle_event(event::Event::Ejection {
-            server: handle,
-            ejection,
-        });
-    }
-
-    /// Records that another daemon reported a run of a server as leaving; its current run if
-    /// `started_millis` is 0.
-    pub fn record_leaving(&self, service: &id::Service, server: &id::Server, started_millis: u64) {
-        // Remembered also if the server is not known yet.
-        self.shared.common.record_leaving(server, started_millis);
-        let known = self.shared.service(service);
-        let handle = known.as_ref().and_then(|known| known.server_handle(server));
-        let Some((known, handle)) = known.zip(handle) else {
-            return;
-        };
-        let is_current = known.started_millis(handle).is_some_and(|current| {
-            started_millis == 0 || self.shared.common.is_leaving(server, current)
-        });
-        if is_current {
-            known.handle_event(event::Event::Leaving(handle));
+    /// Passes a report to its service. One that is about a service or a server that is not configured
+    /// yet waits for that.
+    pub fn report(&self, service: &id::Service, report: report::Report) {
+        if let report::Report::Leaving {
+            server,
+            started_millis,
+        } = &report
+        {
+            self.shared.common.record_leaving(server, *started_millis);
         }
-    }
-
-    /// Merges another daemon's evidence about the servers of a service.
-    pub fn merge_evidence(
-        &self,
-        service: &id::Service,
-        from: instance::Instance,
-        digests: Vec<(id::Server, event::Digest)>,
-    ) {
-        let Some(known) = self.shared.service(service) else {
+        let Some(unapplied) = self.apply_report(service, report) else {
             return;
         };
-        // Without local traffic there is no decision that the evidence could influence.
-        if !known.is_active() {
-            return;
-        }
-        let by_handle = |(name, digest)| Some((known.server_handle(&name)?, digest));
-        let digests = digests.into_iter().filter_map(by_handle).collect();
-        known.handle_event(event::Event::Evidence { from, digests });
-    }
-
-    /// Checks the path to the servers of a service, since another daemon has lost its own.
-    pub fn check_path(&self, service: &id::Service) {
-        let known = self.shared.service(service);
-        // Without local traffic there is no decision that the path could influence.
-        if let Some(known) = known.filter(|known| known.is_active()) {
-            known.handle_event(event::Event::PeerPathLost);
+        // A configuration that is applied meanwhile takes the waiting reports.
+        let _guard = lock(&self.shared.config_lock);
+        if let Some(report) = self.apply_report(service, unapplied) {
+            let now = self.shared.common.clock.now();
+            let kind = report::Kind::from(&report);
+            let Some(waiting) = backlog::Waiting::new(now, report) else {
+                return;
+            };
+            match self.shared.backlog.push(now, service, waiting) {
+                true => {
+                    log::info!(service:%, kind:%; "report: its subject is not configured yet; waiting");
+                }
+                false => {
+                    log::warn!(service:%, kind:%; "report: too many wait for their configuration; dropped");
+                }
+            }
         }
     }
 
-    /// Records that a request sent by another daemon crashed a server.
-    pub fn record_crash(
+    /// Applies a report; returns it if its service or its server is not configured.
+    fn apply_report(
         &self,
         service: &id::Service,
-        fingerprint: handle::Fingerprint,
-        server: &id::Server,
-    ) {
-        let known = self.shared.service(service);
-        let handle = known.as_ref().and_then(|known| known.server_handle(server));
-        if let Some((known, server)) = known.zip(handle) {
-            known.handle_event(event::Event::CrashReport {
-                fingerprint,
-                server,
-            });
+        report: report::Report,
+    ) -> Option<report::Report> {
+        match self.shared.service(service) {
+            Some(known) => known.apply_report(report),
+            None => Some(report),
         }
     }
 
-    /// Records the rate limit of a server that another daemon reported.
-    pub fn record_rate_limit(
-        &self,
-        service: &id::Service,
-        server: &id::Server,
-        started_millis: u64,
-        limit: Option<rate::Rate>,
-    ) {
-        let Some(known) = self.shared.service(service) else {
-            return;
-        };
-        // Without local traffic there is no request that the limit could affect.
-        let handle = known.server_handle(server).filter(|_| known.is_active());
-        if let Some(server) = handle {
-            known.handle_event(event::Event::PeerRateLimit {
-                server,
-                started_millis,
-                limit,
-            });
+    /// Applies the reports that have waited for the configuration of a service.
+    fn apply_waiting_reports(&self, service: &id::Service) {
+        let now = self.shared.common.clock.now();
+        for waiting in self.shared.backlog.take(now, service) {
+            let report = waiting.report.clone().after(now.since(waiting.received_at));
+            if self.apply_report(service, report).is_some() {
+                let has_room = self.shared.backlog.push(now, service, waiting);
+                debug_assert!(has_room, "the report was taken before");
+            }
         }
     }
 
-    /// Refuses a request for the given duration from now.
-    pub fn quarantine(
-        &self,
-        service: &id::Service,
-        fingerprint: handle::Fingerprint,
-        duration: Duration,
-    ) {
-        let expires_at = self.shared.common.clock.now() + duration;
-        self.handle_event(
-            service,
-            event::Event::Quarantine {
-                fingerprint,
-                expires_at,
-            },
-        );
-    }
-
     /// Returns this daemon's evidence about the servers of a service.
     #[must_use]
     pub fn digests(&self, service: &id::Service) -> Vec<(id::Server, event::Digest)> {
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod interface;
 pub mod pool;
 pub mod relay;
+pub mod report;
 pub mod split;
 pub mod trace;
 
@@ -26,6 +27,7 @@
 mod activity;
 mod announcement;
 mod attempt;
+mod backlog;
 mod body;
 mod caller;
 mod claim;
--- a/crates/proxy/src/service.rs
+++ b/crates/proxy/src/service.rs
@@ -5,6 +5,7 @@
 
 mod deferred;
 mod pending;
+mod reports;
 
 use std::collections::VecDeque;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -72,7 +73,7 @@
     pub name: id::Service,
     common: Arc<common::Common>,
     active_config: ArcSwap<ActiveConfig>,
-    /// Handles of all servers that the service has ever had.
+    /// Handles of all servers that the service has ever had, or that reports have named.
     handles: Mutex<map::Map<id::Server, handle::Server>>,
     /// Created at the first event, so that a service without traffic has no policy.
     state: Mutex<Option<State>>,
@@ -132,10 +133,7 @@
         };
         let mut handles = lock(&self.handles);
         for server_spec in &spec.servers {
-            let new_handle = handle::Server(u32::try_from(handles.len()).unwrap_or(u32::MAX));
-            let handle = *handles
-                .entry(server_spec.name.clone())
-                .or_insert(new_handle);
+            let handle = get_or_insert_handle(&mut handles, &server_spec.name);
             if server_spec.leaving {
                 let started_millis = server_spec.started_millis;
                 let is_new = self
@@ -226,6 +224,11 @@
         }
     }
 
+    /// Returns the handle of a server, also of one that is not configured.
+    fn get_or_create_handle(&self, name: &id::Server) -> handle::Server {
+        get_or_insert_handle(&mut lock(&self.handles), name)
+    }
+
     pub fn server_handle(&self, name: &id::Server) -> Option<handle::Server> {
         self.active_config.load().handles.get(name).copied()
     }
@@ -469,6 +472,14 @@
     }
 }
 
+fn get_or_insert_handle(
+    handles: &mut map::Map<id::Server, handle::Server>,
+    name: &id::Server,
+) -> handle::Server {
+    let next = handle::Server(u32::try_from(handles.len()).unwrap_or(u32::MAX));
+    *handles.entry(name.clone()).or_insert(next)
+}
+
 /// Whether a request is still pending and can be sent to another server.
 fn is_pending(state: &State, request: handle::Request) -> bool {
     state.pending.contains_key(&request)
--- a/crates/proxy/tests/all/faults.rs
+++ b/crates/proxy/tests/all/faults.rs
@@ -7,6 +7,8 @@
 use monsooncart_testbed::backend::mode;
 use monsooncart_types::span;
 
+use monsooncart_proxy::report;
+
 use crate::scripted::{ScriptedServer, Step, response};
 use crate::{fakes, fixture};
 
@@ -256,9 +258,11 @@
         fixture::closed_address().await,
     )]);
     proxy.engine.configure(Arc::new(fixture::snapshot(&moved)));
-    proxy
-        .engine
-        .record_ejection(&service, &name, monsooncart_policy::event::Ejection::Denied);
+    let denied = report::Report::Ejection {
+        server: name,
+        ejection: monsooncart_policy::event::Ejection::Denied,
+    };
+    proxy.engine.report(&service, denied);
     let mut sender = fixture::connect(proxy.address).await;
 
     for _ in 0..REFUSALS {
--- a/crates/proxy/tests/all/fixture.rs
+++ b/crates/proxy/tests/all/fixture.rs
@@ -200,6 +200,16 @@
     )
 }
 
+/// Starts an engine that has no configuration yet.
+pub async fn start_unconfigured_proxy(policies: Arc<dyn interface::Policies>) -> Proxy {
+    let config = config::Config::new("entry-1".parse().unwrap(), "attica-a".parse().unwrap());
+    start_engine(
+        bind_listener().await,
+        config.policies(policies),
+        snapshot::Snapshot::default(),
+    )
+}
+
 /// Start of the run of all servers with host routing, in milliseconds.
 pub const SERVER_RUN: u64 = 1000;
 
--- a/crates/proxy/tests/all/leaving.rs
+++ b/crates/proxy/tests/all/leaving.rs
@@ -3,6 +3,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use monsooncart_proxy::report;
+
 use crate::scripted::{ScriptedServer, host_response};
 use crate::{fakes, fixture};
 
@@ -48,7 +50,11 @@
     let server = ScriptedServer::start(host_response("200 OK", "")).await;
     let proxy = fixture::start_host_proxy(&[server.address], TIMEOUT).await;
     let (service, name) = ("wiredesk".parse().unwrap(), "server-0".parse().unwrap());
-    proxy.engine.record_leaving(&service, &name, started_millis);
+    let leaving = report::Report::Leaving {
+        server: name,
+        started_millis,
+    };
+    proxy.engine.report(&service, leaving);
     fixture::send(proxy.address, fixture::host_request("POST", "/orders/1")).await;
     server.heads()
 }
--- a/crates/proxy/tests/all/policy_actions.rs
+++ b/crates/proxy/tests/all/policy_actions.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use monsooncart_policy::{action, event, handle, outcome, service};
-use monsooncart_proxy::interface;
+use monsooncart_proxy::{interface, report};
 use monsooncart_testbed::backend::{mode, server};
 use monsooncart_types::{id, time};
 
@@ -14,7 +14,7 @@
 type Script = dyn Fn(&event::Event, time::Time) -> Vec<action::Action> + Send + Sync;
 
 /// Creates policies that respond to events by a script and record them.
-struct ScriptedPolicies {
+pub struct ScriptedPolicies {
     script: Arc<Script>,
     events: Arc<Mutex<Vec<event::Event>>>,
 }
@@ -25,7 +25,7 @@
 }
 
 impl ScriptedPolicies {
-    fn new(
+    pub fn new(
         script: impl Fn(&event::Event, time::Time) -> Vec<action::Action> + Send + Sync + 'static,
     ) -> Arc<Self> {
         Arc::new(Self {
@@ -34,7 +34,7 @@
         })
     }
 
-    fn events(&self) -> Vec<event::Event> {
+    pub fn events(&self) -> Vec<event::Event> {
         let events = self.events.lock().unwrap_or_else(PoisonError::into_inner);
         events.clone()
     }
@@ -215,9 +215,11 @@
     let policies = ScriptedPolicies::new(|event, _| probe_on_ejection(event));
     let proxy = start_proxy(&[server.address()], &policies).await;
     let (service, name) = ("wiredesk".parse().unwrap(), "server-0".parse().unwrap());
-    proxy
-        .engine
-        .record_ejection(&service, &name, event::Ejection::Granted);
+    let granted = report::Report::Ejection {
+        server: name,
+        ejection: event::Ejection::Granted,
+    };
+    proxy.engine.report(&service, granted);
     (policies, proxy)
 }
 
@@ -351,13 +353,22 @@
     let server = handle::Server(0);
     let fingerprint = handle::Fingerprint(5);
 
-    proxy.engine.record_leaving(&service, &name, 0);
-    proxy
-        .engine
-        .record_ejection(&service, &name, event::Ejection::Denied);
-    proxy
-        .engine
-        .quarantine(&service, fingerprint, Duration::from_secs(60));
+    for report in [
+        report::Report::Leaving {
+            server: name.clone(),
+            started_millis: 0,
+        },
+        report::Report::Ejection {
+            server: name,
+            ejection: event::Ejection::Denied,
+        },
+        report::Report::Quarantine {
+            fingerprint,
+            duration: Duration::from_secs(60),
+        },
+    ] {
+        proxy.engine.report(&service, report);
+    }
 
     let quarantined = |e: &event::Event| matches!(e, event::Event::Quarantine { fingerprint: f, .. } if *f == fingerprint);
     let denied = event::Event::Ejection {
