An upload does not move the deadline of its request (CONFIG)

Uploads to servers that read slowly had no answer at the route's timeout, nor at their callers' time budget.

Cause: the deadline for the response head moved while a streamed body was sent, and by a whole timeout at its end. The project's own interface promises that; with host routing the users' rule counts any request that outlasts its route's timeout, and names no exception for uploads.

With host routing the deadline stays. The schedule of a planned stop depends on it: a request is sent late only if its deadline leaves time.

--- a/crates/proxy/src/deadline.rs
+++ b/crates/proxy/src/deadline.rs
@@ -68,14 +68,13 @@
 
     /// Deadline for the response head of an attempt that sends this body.
     pub fn response_head(&self, body: &payload::Source) -> Instant {
-        let payload::Source::Streamed(stream) = body else {
-            return self.at;
-        };
-        if !stream.is_consumed() {
-            return self.at;
+        match (self.scope, body) {
+            (Scope::Head, payload::Source::Streamed(stream)) if stream.is_consumed() => {
+                let ended_at = stream.completed_at().unwrap_or_else(Instant::now);
+                self.at.max(ended_at + self.timeout)
+            }
+            _ => self.at,
         }
-        let ended_at = stream.completed_at().unwrap_or_else(Instant::now);
-        self.at.max(ended_at + self.timeout)
     }
 
     /// Deadline for the end of the response body, if it has one.
--- a/crates/proxy/tests/all/endless.rs
+++ b/crates/proxy/tests/all/endless.rs
@@ -3,7 +3,9 @@
 
 use std::time::Duration;
 
+use bytes::Bytes;
 use http::StatusCode;
+use http_body_util::Full;
 
 use crate::fixture;
 use crate::scripted::{ScriptedServer, Step, response};
@@ -14,6 +16,9 @@
 /// Bytes that the kernel's buffers and the proxy's may hold of one connection.
 const MAX_READ_BYTES: u64 = 16 << 20;
 
+/// Size of an upload that no buffers on its way can hold.
+const UPLOAD_BYTES: usize = 64 << 20;
+
 /// Steps that read a request and then write `head`, followed by `rest` again and again.
 fn endless(head: &str, rest: &str) -> Vec<Step> {
     vec![
@@ -148,6 +153,26 @@
     }
 }
 
+/// Guards against an upload to a server that reads slowly, which outlasts the timeout of its route
+/// (CONFIG).
+#[tokio::test]
+async fn uploads_to_a_server_that_does_not_read_end_at_the_timeout() {
+    let server = ScriptedServer::start(vec![Step::ReadHead, Step::Wait]).await;
+    let proxy = fixture::start_host_proxy(&[server.address], TIMEOUT).await;
+    let body = Bytes::from(vec![b'a'; UPLOAD_BYTES]);
+    let request = fixture::host_request("POST", "/orders/1").map(|_| Full::new(body));
+
+    let sending = fixture::try_send(proxy.address, request);
+    let answer = tokio::time::timeout(fixture::TEST_TIMEOUT / 3, sending).await;
+
+    // A caller that is still sending may see its connection close in place of the response.
+    let answer = answer.expect("the request ends");
+    let status = answer.map_or(StatusCode::GATEWAY_TIMEOUT, |answer| answer.status);
+    assert!(status.is_server_error(), "{status}");
+    assert_ne!(status, StatusCode::SERVICE_UNAVAILABLE);
+    assert_eq!(server.heads(), 1);
+}
+
 #[tokio::test]
 async fn bytes_after_a_response_belong_to_no_request() {
     let extra = vec![
