testbed: stops, a check for requests that are lost in planned stops

Real daemons are stopped in series, some at the same time, in a mix of uploads in pieces, responses in pieces, slow readers and kept connections, over HTTP/1.1 or HTTP/2. Servers record when they are at work, so that the users' rule (LOST) can be checked request by request.

--- a/crates/testbed/src/commands.rs
+++ b/crates/testbed/src/commands.rs
@@ -8,3 +8,4 @@
 pub mod naive_daemon;
 pub mod platform;
 pub mod soak;
+pub mod stops;
--- a/crates/testbed/src/main.rs
+++ b/crates/testbed/src/main.rs
@@ -26,6 +26,8 @@
     Platform(commands::platform::Arguments),
     /// Runs daemons under random faults and checks that their guarantees hold.
     Soak(commands::soak::Arguments),
+    /// Stops daemons in a mix of requests and checks that none is lost.
+    Stops(commands::stops::Arguments),
 }
 
 #[tokio::main]
@@ -33,7 +35,10 @@
     let command = Command::parse();
     // The daemons of an experiment run in its process and would log between its results.
     let filter = match command {
-        Command::ControlPoint(_) | Command::Experiment(_) | Command::Soak(_) => "error",
+        Command::ControlPoint(_)
+        | Command::Experiment(_)
+        | Command::Soak(_)
+        | Command::Stops(_) => "error",
         _ => "info,tarpc=off",
     };
     env_logger::Builder::from_env(env_logger::Env::default().default_filter_or(filter)).init();
@@ -46,5 +51,6 @@
         Command::NaiveDaemon(arguments) => arguments.run().await,
         Command::Platform(arguments) => arguments.run().await,
         Command::Soak(arguments) => arguments.run().await,
+        Command::Stops(arguments) => arguments.run().await,
     }
 }
--- a/crates/testbed/src/soak.rs
+++ b/crates/testbed/src/soak.rs
@@ -14,6 +14,7 @@
 mod ledger;
 mod operator;
 pub mod plan;
+pub mod stops;
 mod trouble;
 
 use std::path;
--- a/crates/testbed/src/soak/caller.rs
+++ b/crates/testbed/src/soak/caller.rs
@@ -225,7 +225,7 @@
 }
 
 /// Returns the addresses of daemons that a daemon's directory lists.
-async fn resolve(daemon: &daemon::Daemon) -> Option<Vec<net::SocketAddr>> {
+pub async fn resolve(daemon: &daemon::Daemon) -> Option<Vec<net::SocketAddr>> {
     let path = format!("/api/resolve?name={}&zone={}", site::HOST, site::ZONE);
     let response = get(daemon.directory_address(), &path).await?;
     let response: serde_json::Value = serde_json::from_slice(&response.1).ok()?;
--- a/crates/testbed/src/soak/daemon.rs
+++ b/crates/testbed/src/soak/daemon.rs
@@ -20,7 +20,7 @@
 const POLL_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Maximum duration of a planned stop: the grace time of the settings.
-const GRACE_TIME: Duration = Duration::from_secs(6);
+pub const GRACE_TIME: Duration = Duration::from_secs(6);
 
 /// A daemon: its process, and the links for its traffic.
 pub struct Daemon {
--- a/crates/testbed/src/soak/ledger.rs
+++ b/crates/testbed/src/soak/ledger.rs
@@ -7,6 +7,7 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
+use super::stops;
 use super::{fleet, operator, plan};
 
 /// Time after the last fault before time limits apply again, as the users define it.
@@ -140,6 +141,7 @@
 #[derive(Debug, Default)]
 struct Records {
     requests: Vec<Request>,
+    stop_requests: Vec<stops::Request>,
     stops: Vec<Stop>,
     disturbances: BTreeMap<String, u32>,
     active_faults: u32,
@@ -182,6 +184,17 @@
         self.records().requests.push(request);
     }
 
+    /// Records a completed request of the mix around planned stops.
+    pub fn record_stop_request(&self, request: stops::Request) {
+        self.records().stop_requests.push(request);
+    }
+
+    /// The requests of the mix around planned stops, and the stops.
+    pub fn stop_records(&self) -> (Vec<stops::Request>, Vec<Stop>) {
+        let records = self.records();
+        (records.stop_requests.clone(), records.stops.clone())
+    }
+
     /// Records a planned stop.
     pub fn record_stop(&self, stop: Stop) {
         self.records().stops.push(stop);
@@ -231,7 +244,7 @@
 }
 
 /// Statuses with which a daemon reports that the request was not run.
-const NOT_RUN_STATUSES: [u16; 4] = [408, 421, 429, 503];
+pub const NOT_RUN_STATUSES: [u16; 4] = [408, 421, 429, 503];
 
 /// Checks the recorded outcomes of requests against the executions that servers counted, and
 /// returns the report.
--- a/crates/testbed/src/worker.rs
+++ b/crates/testbed/src/worker.rs
@@ -50,6 +50,8 @@
     mode: Mode,
     delay: Duration,
     executions: BTreeMap<String, u32>,
+    /// Executions of requests that state their work.
+    timed_executions: Vec<(String, Execution)>,
     heads: Vec<String>,
     /// When the last execution of a request started.
     last_execution_started_at: Option<Instant>,
@@ -67,6 +69,52 @@
     poison: Option<String>,
 }
 
+/// The work that a request states in its query.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, derive_more::Display)]
+#[display("work={}&bytes={response_bytes}&pieces={pieces}", time.as_millis())]
+pub struct Work {
+    /// Time to the response.
+    pub time: Duration,
+    /// Size of the response body.
+    pub response_bytes: u64,
+    /// Number of pieces in which the response body is written.
+    pub pieces: u32,
+}
+
+impl Work {
+    /// Pause before each further piece of a response.
+    const PIECE_PAUSE: Duration = Duration::from_millis(30);
+
+    /// Reads the work from a request head.
+    fn parse(head: &str) -> Option<Self> {
+        let target = head.split(' ').nth(1)?;
+        let (_, query) = target.split_once('?')?;
+        let field = |name: &str| {
+            let mut fields = query.split('&').filter_map(|field| field.split_once('='));
+            fields.find(|(n, _)| *n == name)?.1.parse::<u64>().ok()
+        };
+        Some(Self {
+            time: Duration::from_millis(field("work")?),
+            response_bytes: field("bytes")?,
+            pieces: u32::try_from(field("pieces")?).ok()?.max(1),
+        })
+    }
+
+    /// Time from the start to the last piece of the response.
+    fn duration(&self) -> Duration {
+        self.time + Self::PIECE_PAUSE * (self.pieces - 1)
+    }
+}
+
+/// One execution of a request that states its work.
+#[derive(Clone, Copy, Debug)]
+pub struct Execution {
+    /// When it started.
+    pub started_at: Instant,
+    /// When the server has the whole response.
+    pub ends_at: Instant,
+}
+
 impl State {
     /// Header lines by which its responses announce its state.
     fn announcements(&self) -> String {
@@ -163,6 +211,12 @@
         self.state().executions.clone()
     }
 
+    /// Returns the executions of requests that state their work, by request id.
+    #[must_use]
+    pub fn timed_executions(&self) -> Vec<(String, Execution)> {
+        self.state().timed_executions.clone()
+    }
+
     /// Returns when the last execution of a request started.
     #[must_use]
     pub fn last_execution_started_at(&self) -> Option<Instant> {
@@ -263,11 +317,25 @@
                 stream.write_all(text.as_bytes()).await?;
                 continue;
             }
+            let work = Work::parse(&request.head);
             {
                 let mut state = self.state();
+                if let Some(work) = &work {
+                    let started_at = Instant::now();
+                    let ends_at = started_at + work.duration();
+                    let execution = Execution {
+                        started_at,
+                        ends_at,
+                    };
+                    state.timed_executions.push((request.id.clone(), execution));
+                }
                 *state.executions.entry(request.id.clone()).or_default() += 1;
                 state.last_execution_started_at = Some(Instant::now());
             }
+            if let Some(work) = work {
+                write_in_pieces(&mut stream, &request.id, work).await?;
+                continue;
+            }
             tokio::time::sleep(delay).await;
             let text = match mode {
                 Mode::Errors => format_response("500 Internal Server Error", &request.id, "failed"),
@@ -307,6 +375,29 @@
     }
 }
 
+/// Executes stated work and writes its response.
+async fn write_in_pieces(stream: &mut TcpStream, id: &str, work: Work) -> io::Result<()> {
+    tokio::time::sleep(work.time).await;
+    let head = format!(
+        "HTTP/1.1 200 OK\r\nx-attempt-id: {id}\r\nx-server-seal: s\r\ncontent-length: {}\r\n\r\n",
+        work.response_bytes
+    );
+    stream.write_all(head.as_bytes()).await?;
+    let mut left = work.response_bytes;
+    for piece in 0..work.pieces {
+        if piece > 0 {
+            tokio::time::sleep(Work::PIECE_PAUSE).await;
+        }
+        let count = match piece + 1 == work.pieces {
+            true => left,
+            false => work.response_bytes / u64::from(work.pieces),
+        };
+        left -= count;
+        stream.write_all(&vec![b'r'; count as usize]).await?;
+    }
+    Ok(())
+}
+
 fn format_response(status: &str, id: &str, body: &str) -> String {
     format!(
         "HTTP/1.1 {status}\r\nx-attempt-id: {id}\r\nx-server-seal: s\r\ncontent-length: {}\r\n\r\n{body}",
--- a/tests/all/soak.rs
+++ b/tests/all/soak.rs
@@ -30,6 +30,30 @@
     assert!(printed.contains("broken: not-run"), "{printed}");
 }
 
+/// Guards against requests that are lost in a planned stop, among them uploads in pieces (LOST).
+#[tokio::test(flavor = "multi_thread")]
+async fn no_request_is_lost_while_all_daemons_stop() {
+    let arguments = [
+        "stops",
+        "--seed",
+        "1",
+        "--rounds",
+        "1",
+        "--all",
+        "--daemons",
+        "2",
+        "--callers",
+        "16",
+    ];
+    let command =
+        tokio::task::spawn_blocking(move || process::run_to_exit(&process::testbed(), &arguments));
+
+    let (code, out, error) = command.await.expect("the command completes");
+
+    assert_eq!(code, Some(0), "{out}{error}");
+    assert!(out.contains("lost=0"), "{out}");
+}
+
 #[test]
 fn arguments_out_of_range_are_rejected() {
     let arguments = ["soak", "--daemons", "61"];
