A stopping daemon receives uploads whole before it sends them (LOST)

Callers whose upload was coming in while the daemon stopped got the daemon's 502 at 0.9 of the grace period, although the server was at work and finished within it.

Cause: the schedule of a stop decides when a request is passed on. A streamed body is passed on when its head has come, in the first half of the grace period; the server begins when the body is complete, in the second half, with a deadline that the rest of the grace period does not cover.

While a daemon stops, a request with such a deadline is received whole before it is sent. If it is incomplete when the first half ends, it is refused at once as not run. A body too large to hold is sent only if its deadline is covered, and so is a request that another daemon has relayed.

--- a/crates/policy/src/stop.rs
+++ b/crates/policy/src/stop.rs
@@ -5,6 +5,9 @@
 //! the daemon gives up waiting; any other one is refused as not run, so that its caller sends it
 //! elsewhere. Hence each request that is sent in the second phase is waited for until its deadline,
 //! and each one that is sent in the first phase for the whole second phase at least.
+//!
+//! A server begins its work when it has the whole request. One that is still being received counts
+//! as sent when it is complete, so it is not sent before unless its deadline is early enough.
 
 use std::time::Duration;
 
@@ -42,9 +45,15 @@
         }
     }
 
-    /// Whether a request with this deadline may be sent to a server at `now`.
+    /// Whether a request with this deadline may be sent to a server at `now`, if it is received whole.
     #[must_use]
     pub fn may_send(&self, now: Duration, deadline: Duration) -> bool {
-        now < self.accept || deadline <= self.abandon
+        now < self.accept || self.is_covered(deadline)
+    }
+
+    /// Whether a request with this deadline is waited for until then, whenever it is sent.
+    #[must_use]
+    pub fn is_covered(&self, deadline: Duration) -> bool {
+        deadline <= self.abandon
     }
 }
--- a/crates/policy/tests/stop.rs
+++ b/crates/policy/tests/stop.rs
@@ -37,6 +37,21 @@
     }
 }
 
+#[test]
+fn covered_requests_may_be_sent_at_any_time_and_are_waited_for() {
+    for (grace, schedule) in schedules() {
+        for (at, deadline) in steps(grace).flat_map(|at| steps(grace).map(move |d| (at, d))) {
+            if schedule.is_covered(deadline) {
+                assert!(schedule.may_send(at, deadline));
+                assert!(
+                    deadline <= schedule.abandon,
+                    "grace {grace:?}, {deadline:?}"
+                );
+            }
+        }
+    }
+}
+
 #[test]
 fn requests_are_sent_while_their_deadline_leaves_time() {
     for (grace, schedule) in schedules() {
--- a/crates/proxy/src/common.rs
+++ b/crates/proxy/src/common.rs
@@ -191,14 +191,26 @@
         *self.draining.borrow()
     }
 
-    /// Whether a planned stop leaves time for a request with this deadline.
-    pub fn has_time(&self, deadline: Instant) -> bool {
+    /// Whether a planned stop leaves time for a request with this deadline, which was received whole
+    /// or is still being received.
+    pub fn has_time(&self, deadline: Instant, is_received: bool) -> bool {
         self.stop.get().is_none_or(|Stop { start, schedule }| {
             let deadline = deadline.saturating_duration_since(*start);
-            schedule.may_send(start.elapsed(), deadline)
+            match is_received {
+                true => schedule.may_send(start.elapsed(), deadline),
+                false => schedule.is_covered(deadline),
+            }
         })
     }
 
+    /// Time by which a request with this deadline has to be received to be sent, because of a planned
+    /// stop.
+    pub fn receive_deadline(&self, deadline: Instant) -> Option<Instant> {
+        let Stop { start, schedule } = self.stop.get()?;
+        let is_covered = schedule.is_covered(deadline.saturating_duration_since(*start));
+        (!is_covered).then_some(*start + schedule.accept)
+    }
+
     /// Starts draining.
     pub fn drain(&self) {
         if !self.drain_logged.swap(true, Ordering::Relaxed) {
--- a/crates/proxy/src/pass.rs
+++ b/crates/proxy/src/pass.rs
@@ -15,7 +15,7 @@
 
 use crate::{
     account, activity, attempt, body, common, deadline, decision, exchange, forwarded, header,
-    payload, problem, response_sizes, server, service, target, trace,
+    payload, problem, request, response_sizes, server, service, target, trace,
 };
 
 struct FinishedAttempt {
@@ -45,6 +45,7 @@
     pub common: Arc<common::Common>,
     pub service: Arc<service::Service>,
     pub request: handle::Request,
+    pub origin: request::Origin,
     /// Request head as sent to servers.
     pub head: Arc<http::request::Parts>,
     pub request_body: payload::Source,
@@ -166,7 +167,10 @@
     /// Whether the daemon does not stop before the request has had its time. A hedge goes beside an
     /// attempt that is waited for in any case.
     fn has_time(&self, attempts: &Attempts) -> bool {
-        !attempts.is_empty() || self.common.has_time(self.deadlines.request())
+        // Another daemon has a relayed request, and can have it relayed elsewhere.
+        let is_received = self.origin == request::Origin::Caller && self.request_body.is_complete();
+        let deadline = self.deadlines.request();
+        !attempts.is_empty() || self.common.has_time(deadline, is_received)
     }
 
     fn record_retry(&self, server: &server::Server) {
@@ -367,7 +371,7 @@
         self.refuse(outcome::Refusal {
             reason: outcome::Reason::Stopping,
             execution,
-            retry_after: is_not_run.then_some(STOPPING_RETRY_AFTER),
+            retry_after: is_not_run.then_some(problem::STOPPING_RETRY_AFTER),
         })
     }
 
@@ -451,9 +455,6 @@
 /// Retry delay for a request that reached its deadline while queued.
 const DEADLINE_RETRY_AFTER: Duration = Duration::from_secs(1);
 
-/// Retry delay for a request that was not sent when the daemon stopped; other daemons can take it.
-const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(100);
-
 /// A reply that can be forwarded to the caller.
 struct ForwardableReply {
     reply: exchange::Reply,
--- a/crates/proxy/src/problem.rs
+++ b/crates/proxy/src/problem.rs
@@ -39,6 +39,9 @@
     retry_after: Option<u64>,
 }
 
+/// Retry delay for a request that was not sent when the daemon stopped; other daemons can take it.
+pub const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(100);
+
 impl Problem {
     /// Creates the response to a request that was not run.
     pub fn not_run(status: StatusCode, title: &'static str, detail: impl Into<String>) -> Self {
@@ -85,6 +88,15 @@
         Self::not_run(StatusCode::PAYLOAD_TOO_LARGE, "body-too-large", detail)
     }
 
+    /// Creates the response to a request that the daemon does not send any more as it stops.
+    pub fn stopping() -> Self {
+        Self::refusal(outcome::Refusal {
+            reason: outcome::Reason::Stopping,
+            execution: outcome::Execution::NotRun,
+            retry_after: Some(STOPPING_RETRY_AFTER),
+        })
+    }
+
     /// Sets the retry delay.
     #[must_use]
     pub fn retry_after(mut self, delay: Duration) -> Self {
--- a/crates/proxy/src/request.rs
+++ b/crates/proxy/src/request.rs
@@ -183,6 +183,7 @@
             limit: options.body_limit,
             deadline: options.deadlines.request(),
             stall_timeout: shared.common.limits().body_timeout.0,
+            stop_at: shared.common.receive_deadline(options.deadlines.request()),
             must_identify: may_stream && service.is_suspected(hasher.clone().finish_head(size)),
         };
         let received = inbound_body::read(&shared.common.bodies, incoming, rules, hasher);
@@ -236,6 +237,7 @@
             common: shared.common.clone(),
             service,
             request: self.number,
+            origin: self.origin,
             head: Arc::new(outbound::build_head(&shared.common, head, &options, ticket)),
             request_body,
             caller_request_id: options.caller_request_id,
--- a/crates/proxy/src/request/inbound_body.rs
+++ b/crates/proxy/src/request/inbound_body.rs
@@ -17,8 +17,8 @@
 /// Maximum request body that is buffered for retries.
 pub const MAX_BUFFERED_BYTES: u64 = 64 << 10;
 
-/// Maximum request body that is buffered to recognise a request that may have crashed a server.
-const MAX_IDENTIFIED_BYTES: u64 = 8 << 20;
+/// Maximum request body that is buffered if the request is to be received whole.
+const MAX_WHOLE_BYTES: u64 = 8 << 20;
 
 /// Rules for receiving a body.
 pub struct Rules {
@@ -28,6 +28,8 @@
     pub stall_timeout: Duration,
     /// Whether the request has to be recognised before it is sent.
     pub must_identify: bool,
+    /// When a planned stop leaves no more time to send the request once it is received.
+    pub stop_at: Option<Instant>,
 }
 
 /// A body that was received, or is left to be streamed.
@@ -39,16 +41,33 @@
 }
 
 impl Rules {
+    /// Whether the request is to be received whole before it is sent.
+    fn receives_whole(&self) -> bool {
+        self.must_identify || self.stop_at.is_some()
+    }
+
     fn max_buffered_bytes(&self) -> u64 {
-        match self.must_identify {
-            true => MAX_IDENTIFIED_BYTES,
+        match self.receives_whole() {
+            true => MAX_WHOLE_BYTES,
             false => MAX_BUFFERED_BYTES,
         }
     }
+
+    /// The response to a request whose body makes no progress.
+    fn stalled(&self) -> problem::Problem {
+        if self
+            .stop_at
+            .is_some_and(|stop_at| stop_at <= Instant::now())
+        {
+            return problem::Problem::stopping();
+        }
+        let status = StatusCode::REQUEST_TIMEOUT;
+        problem::Problem::not_run(status, "body-stalled", "request body did not come")
+    }
 }
 
 /// Buffers a small body, whose request can then be retried; a larger one is left to be streamed. A
-/// request that has to be recognised is buffered as far as the memory for bodies permits.
+/// request that is to be received whole is buffered as far as the memory for bodies permits.
 ///
 /// # Errors
 ///
@@ -77,11 +96,11 @@
     }
     while max_buffered_bytes > 0 && buffered.len() as u64 <= max_buffered_bytes {
         let frame_deadline = rules.deadline.min(Instant::now() + rules.stall_timeout);
+        let frame_deadline = rules
+            .stop_at
+            .map_or(frame_deadline, |at| at.min(frame_deadline));
         let frame = timeout_at(frame_deadline, incoming.frame()).await;
-        let frame = frame.map_err(|_| {
-            let status = StatusCode::REQUEST_TIMEOUT;
-            problem::Problem::not_run(status, "body-stalled", "request body did not come")
-        })?;
+        let frame = frame.map_err(|_| rules.stalled())?;
         match frame {
             None => {
                 return Ok(Received {
@@ -98,7 +117,7 @@
                     let is_small = buffered.len() as u64 <= MAX_BUFFERED_BYTES;
                     match reservation.extend(data.len() as u64) {
                         Ok(()) => {}
-                        Err(problem) if is_small || !rules.must_identify => {
+                        Err(problem) if is_small || !rules.receives_whole() => {
                             return Err(problem);
                         }
                         Err(_) => max_buffered_bytes = 0,
--- a/tests/all/gateway.rs
+++ b/tests/all/gateway.rs
@@ -13,6 +13,8 @@
 use monsooncart_testbed::{registry, worker};
 use rustix::process::Signal;
 use serde_json::json;
+use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
+use tokio::net::TcpStream;
 
 use crate::fixture::gateway::{self, Gateway};
 use crate::fixture::{http, process, wait};
@@ -324,6 +326,67 @@
     assert!(status.success(), "{status}");
 }
 
+/// Guards against uploads that are passed on while their body is coming in, and broken off at the end of
+/// a planned stop, although their server would have finished (LOST).
+#[tokio::test(flavor = "multi_thread")]
+async fn uploads_that_are_incomplete_late_in_a_planned_stop_are_reported_as_not_run() {
+    let mut gateway = Gateway::start(2, 1).await;
+    let mut rules = gateway::rules();
+    let mut route = gateway::route("/slow-buy/", "unsafe", gateway::SERVICE);
+    route["action"]["timeout_s"] = json!(20.0);
+    rules.push(route);
+    gateway
+        .registry
+        .put("config", "main", &gateway::configuration(5, &rules));
+    wait::until("new route is in force", || async {
+        let reply = gateway.daemons[0]
+            .send("POST", "/slow-buy/x", "first")
+            .await;
+        reply.is_ok_and(|reply| reply.status == 200)
+    })
+    .await;
+    let mut leaving = gateway.daemons.remove(0);
+    leaving.process.signal(Signal::TERM);
+    wait::until("the stop has begun", || async {
+        leaving.process.log().contains("draining")
+    })
+    .await;
+    // More than a daemon buffers for retries.
+    let half = vec![b'a'; 80 << 10];
+    let head = format!(
+        "POST /slow-buy/x HTTP/1.1\r\nhost: {}\r\nx-attempt-id: slow\r\nx-deadline-ms: 20000\r\n\
+         content-length: {}\r\n\r\n",
+        gateway::HOST,
+        2 * half.len()
+    );
+    let mut caller = TcpStream::connect(leaving.caller_address())
+        .await
+        .expect("connection");
+    caller
+        .write_all(head.as_bytes())
+        .await
+        .expect("head is sent");
+    caller
+        .write_all(&half)
+        .await
+        .expect("half of the body is sent");
+
+    let mut reply = vec![0; 4096];
+    let reading = tokio::time::timeout(wait::TIMEOUT, caller.read(&mut reply)).await;
+
+    let count = reading.expect("a response").expect("an open connection");
+    let reply = String::from_utf8_lossy(&reply[..count]).into_owned();
+    assert!(reply.starts_with("HTTP/1.1 503"), "{reply}");
+    assert!(reply.contains("retry-after"), "{reply}");
+    let heads = gateway.servers[0].heads();
+    assert!(
+        !heads.iter().any(|head| head.contains("slow\r")),
+        "{heads:?}"
+    );
+    let status = leaving.process.wait(Duration::from_secs(30));
+    assert!(status.success(), "{status}");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn hangup_signal_aborts_no_request() {
     let mut gateway = Gateway::start(1, 1).await;
