--- a/crates/proxy/src/pass.rs
+++ b/crates/proxy/src/pass.rs
@@ -413,7 +413,11 @@
         };
         let mut problem = problem::Problem::not_run(status, title, fault.to_string());
         problem.execution = self.account.execution();
-        self.account.record_local_reply(status.as_u16(), None);
+        if self.common.host_headers.is_some() && problem.execution == outcome::Execution::Unknown {
+            problem = problem.with_ambiguous_status();
+        }
+        self.account
+            .record_local_reply(problem.status.as_u16(), None);
         self.local_reply(&problem)
     }
 
--- a/crates/proxy/tests/all/fixture.rs
+++ b/crates/proxy/tests/all/fixture.rs
@@ -275,6 +275,19 @@
     start_engine(bind_listener().await, config, snapshot)
 }
 
+/// As [`start_host_proxy`], with these limits of the listener for callers.
+pub async fn start_limited_host_proxy(
+    addresses: &[net::SocketAddr],
+    timeout: Duration,
+    limits: settings::Limits,
+) -> Proxy {
+    let config = config::Config::new("entry-1".parse().unwrap(), "attica-a".parse().unwrap());
+    let config = config.host_routing(Some(header_names())).limits(limits);
+    let config = config.policies(Arc::new(fakes::Naive));
+    let snapshot = host_snapshot(addresses, timeout, access::Access::Open);
+    start_engine(bind_listener().await, config, snapshot)
+}
+
 async fn start_host_engine(
     addresses: &[net::SocketAddr],
     timeout: Duration,
--- a/crates/proxy/tests/all/statuses.rs
+++ b/crates/proxy/tests/all/statuses.rs
@@ -1,13 +1,16 @@
 //! Local replies of the fleet.
 
+use std::time::Duration;
+
 use bytes::Bytes;
 use http::Request;
 use http_body_util::{Full, StreamBody};
 use monsooncart_config::settings;
-use monsooncart_types::size;
+use monsooncart_types::{size, span};
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::TcpStream;
 
+use crate::scripted::{ScriptedServer, Step};
 use crate::{fakes, fixture};
 
 /// Asserts that a response is a local reply that reports the request as not run.
@@ -235,3 +238,31 @@
     assert_not_run(&unknown, 404);
     assert_not_run(&malformed, 400);
 }
+
+/// Guards against a status that says that a request was not run, for an upload at which a server has begun
+/// (REFUSED).
+#[tokio::test]
+async fn upload_that_stalls_after_a_server_has_begun_is_not_reported_as_not_run() {
+    let server = ScriptedServer::start(vec![Step::ReadHead, Step::ReadEnd]).await;
+    let limits = settings::Limits {
+        body_timeout: span::Span(Duration::from_millis(200)),
+        ..fixture::limits()
+    };
+    let addresses = [server.address];
+    let proxy = fixture::start_limited_host_proxy(&addresses, fixture::TEST_TIMEOUT, limits).await;
+    let mut caller = TcpStream::connect(proxy.address).await.unwrap();
+    let half = vec![b'a'; 80 << 10];
+    let head = format!(
+        "POST /orders/1 HTTP/1.1\r\nhost: wires.example\r\nx-request: 1\r\ncontent-length: {}\r\n\r\n",
+        2 * half.len()
+    );
+    caller.write_all(head.as_bytes()).await.unwrap();
+    caller.write_all(&half).await.unwrap();
+
+    let mut reply = vec![0; 4096];
+    let count = caller.read(&mut reply).await.unwrap();
+
+    let reply = String::from_utf8_lossy(&reply[..count]).into_owned();
+    assert!(reply.starts_with("HTTP/1.1 502"), "{reply}");
+    assert_eq!(server.heads(), 1);
+}
