testbed: slow readers with a pace in stops

The slow readers of the mix paused between reads and were done within two seconds, so none was still reading when a daemon exited.

So a slow reader at the exit is not shown to lose anything.

--- a/crates/testbed/src/commands/stops.rs
+++ b/crates/testbed/src/commands/stops.rs
@@ -32,6 +32,9 @@
     /// Sends requests over HTTP/2.
     #[arg(long)]
     http2: bool,
+    /// Lets slow readers read at a limited pace into small buffers.
+    #[arg(long)]
+    paced: bool,
     /// Daemon program; that of the same build if absent.
     #[arg(long)]
     program: Option<path::PathBuf>,
@@ -73,6 +76,7 @@
             rounds: self.rounds,
             all: self.all,
             http2: self.http2,
+            paced: self.paced,
         };
         match stops::run(&options, plan).await {
             Ok(report) => {
--- a/crates/testbed/src/soak/stops.rs
+++ b/crates/testbed/src/soak/stops.rs
@@ -40,6 +40,8 @@
     pub all: bool,
     /// Whether callers use HTTP/2.
     pub http2: bool,
+    /// Whether slow readers read at a limited pace into small buffers, instead of pausing.
+    pub paced: bool,
 }
 
 /// Result of a run.
@@ -109,7 +111,7 @@
     let callers = TaskTracker::new();
     for number in 0..options.callers {
         let seed = options.seed.wrapping_mul(1000).wrapping_add(number as u64);
-        let caller = caller::Caller::new(fleet.clone(), seed, plan.http2);
+        let caller = caller::Caller::new(fleet.clone(), seed, plan);
         callers.spawn(caller.run(stop.clone()));
     }
     callers.close();
--- a/crates/testbed/src/soak/stops/caller.rs
+++ b/crates/testbed/src/soak/stops/caller.rs
@@ -15,11 +15,11 @@
 use rand::seq::IndexedRandom as _;
 use rand::{RngExt as _, SeedableRng as _};
 use serde_json::{Value, json};
-use tokio::net::TcpStream;
+use tokio::net::TcpSocket;
 use tokio_util::sync::CancellationToken;
 
 use super::super::{caller, fleet};
-use super::check;
+use super::{Plan, check};
 use crate::{site, worker};
 
 /// Maximum size of an uploaded body.
@@ -42,6 +42,12 @@
 /// Pauses of a slow reader between two reads.
 const READ_PAUSE: Duration = Duration::from_millis(60);
 
+/// Range of the pace of readers that are as slow as some networks, in bytes per second.
+const READ_PACE: std::ops::Range<f64> = 40_000.0..400_000.0;
+
+/// Receive buffer of those readers.
+const PACED_BUFFER_BYTES: u32 = 32 << 10;
+
 /// Time after the time budget for which a caller still waits.
 const RESPONSE_GRACE: Duration = Duration::from_secs(1);
 
@@ -115,6 +121,15 @@
     }
 }
 
+/// How fast a response is read.
+#[derive(Clone, Copy, Debug)]
+enum Pace {
+    Unlimited,
+    /// Pauses between reads.
+    Pauses,
+    BytesPerSecond(f64),
+}
+
 /// A connection of either version.
 enum Sender {
     Http1(http1::SendRequest<Body>),
@@ -122,11 +137,18 @@
 }
 
 impl Sender {
-    async fn connect(address: net::SocketAddr, http2: bool) -> Option<Self> {
+    async fn connect(address: net::SocketAddr, plan: Plan) -> Option<Self> {
         let open = async {
-            let stream = TcpStream::connect(address).await.ok()?;
+            let socket = match address {
+                net::SocketAddr::V4(_) => TcpSocket::new_v4().ok()?,
+                net::SocketAddr::V6(_) => TcpSocket::new_v6().ok()?,
+            };
+            if plan.paced {
+                socket.set_recv_buffer_size(PACED_BUFFER_BYTES).ok()?;
+            }
+            let stream = socket.connect(address).await.ok()?;
             let io = rt::TokioIo::new(stream);
-            if http2 {
+            if plan.http2 {
                 let executor = rt::TokioExecutor::new();
                 let (sender, connection) = http2::handshake(executor, io).await.ok()?;
                 tokio::spawn(connection);
@@ -169,7 +191,7 @@
 pub struct Caller {
     fleet: Arc<fleet::Fleet>,
     rng: StdRng,
-    http2: bool,
+    plan: Plan,
     is_loyal: bool,
     addresses: Vec<net::SocketAddr>,
     refresh_at: Instant,
@@ -177,13 +199,13 @@
 }
 
 impl Caller {
-    pub fn new(fleet: Arc<fleet::Fleet>, seed: u64, http2: bool) -> Self {
+    pub fn new(fleet: Arc<fleet::Fleet>, seed: u64, plan: Plan) -> Self {
         let mut rng = StdRng::seed_from_u64(seed);
         let is_loyal = rng.random_bool(LOYAL_SHARE);
         Self {
             fleet,
             rng,
-            http2,
+            plan,
             is_loyal,
             addresses: Vec::new(),
             refresh_at: Instant::now(),
@@ -228,7 +250,7 @@
         let mut daemons = self.fleet.daemons.iter();
         let daemon = daemons.find(|daemon| daemon.caller_address() == address)?;
         let daemon = (daemon.ip, daemon.run_number());
-        let sender = Sender::connect(address, self.http2).await?;
+        let sender = Sender::connect(address, self.plan).await?;
         Some(Connection { sender, daemon })
     }
 
@@ -239,8 +261,13 @@
         let body_sent_at = Arc::new(Mutex::new(None));
         let request = self.build_request(&KINDS[kind], &id, &body_sent_at);
         let reads_slowly = self.rng.random_bool(SLOW_READER_SHARE);
+        let pace = match (reads_slowly, self.plan.paced) {
+            (false, _) => Pace::Unlimited,
+            (true, false) => Pace::Pauses,
+            (true, true) => Pace::BytesPerSecond(self.rng.random_range(READ_PACE)),
+        };
         let limit = KINDS[kind].budget + RESPONSE_GRACE;
-        let response = exchange(&mut connection.sender, request, reads_slowly);
+        let response = exchange(&mut connection.sender, request, pace);
         let outcome = tokio::time::timeout(limit, response).await;
         let outcome = outcome.unwrap_or(check::Outcome::GaveUp);
         let body_sent_at = *body_sent_at.lock().unwrap_or_else(PoisonError::into_inner);
@@ -285,7 +312,7 @@
         if kind.max_body_bytes > 0 {
             *request.method_mut() = http::Method::POST;
         }
-        let authority = if self.http2 {
+        let authority = if self.plan.http2 {
             "http://wires.example"
         } else {
             ""
@@ -347,11 +374,7 @@
     }
 }
 
-async fn exchange(
-    sender: &mut Sender,
-    request: http::Request<Body>,
-    reads_slowly: bool,
-) -> check::Outcome {
+async fn exchange(sender: &mut Sender, request: http::Request<Body>, pace: Pace) -> check::Outcome {
     let Some(response) = sender.send(request).await else {
         return check::Outcome::Closed;
     };
@@ -361,12 +384,20 @@
     let status = head.status.as_u16();
     let mut last_pause = Instant::now();
     while let Some(frame) = body.frame().await {
-        if frame.is_err() {
+        let Ok(frame) = frame else {
             return check::Outcome::Truncated { status };
-        }
-        if reads_slowly && last_pause.elapsed() > READ_PAUSE / 20 {
-            tokio::time::sleep(READ_PAUSE).await;
-            last_pause = Instant::now();
+        };
+        match pace {
+            Pace::Unlimited => {}
+            Pace::Pauses if last_pause.elapsed() > READ_PAUSE / 20 => {
+                tokio::time::sleep(READ_PAUSE).await;
+                last_pause = Instant::now();
+            }
+            Pace::Pauses => {}
+            Pace::BytesPerSecond(pace) => {
+                let bytes = frame.data_ref().map_or(0, Bytes::len);
+                tokio::time::sleep(Duration::from_secs_f64(bytes as f64 / pace)).await;
+            }
         }
     }
     check::Outcome::Answered {
