Removals are deferred only after a silence of the store in which entries expire (DRAIN)

Cause: after any failed call a daemon deferred removals for 2.2 s, as after an outage. Entries of live servers expire after three missed heartbeats, so not in the silence of a single watch, which waits for one second at most. Now only a silence of two seconds counts; the call after an unanswered watch follows sooner.

--- a/crates/cluster/src/config.rs
+++ b/crates/cluster/src/config.rs
@@ -74,6 +74,9 @@
     /// Time by which the removal of objects that are missing after an outage of the platform is
     /// deferred.
     pub removal_delay: Duration,
+    /// Minimum silence of the platform that counts as such an outage: objects of live writers do not
+    /// expire in a shorter one.
+    pub expiry_time: Duration,
 }
 
 impl Default for Timings {
@@ -95,6 +98,7 @@
             watchers: 2,
             reads_at_start: false,
             removal_delay: Duration::ZERO,
+            expiry_time: Duration::ZERO,
         }
     }
 }
--- a/crates/cluster/src/spread/watch.rs
+++ b/crates/cluster/src/spread/watch.rs
@@ -36,6 +36,9 @@
 /// Maximum interval between checks of whether this daemon is selected as a watcher.
 const SELECTION_POLL_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Divisor of the backoff after the first watch without an answer.
+const UNANSWERED_BACKOFF_DIVISOR: u32 = 4;
+
 /// Minimum wait of a watch while removals are deferred.
 const MIN_WATCH_WAIT: Duration = Duration::from_millis(50);
 
@@ -82,7 +85,9 @@
     prefix: &'static str,
     /// Consecutive failed calls.
     failures: u32,
-    /// Time of the first answer after the latest failure.
+    /// Time of the latest answer.
+    answered_at: Instant,
+    /// Time of the first answer after the latest outage.
     reconnected_at: Option<Instant>,
     deferred_removals: Vec<DeferredRemoval>,
     /// Epoch of the latest answer to this watch.
@@ -100,6 +105,7 @@
             store,
             prefix,
             failures: 0,
+            answered_at: Instant::now(),
             reconnected_at: None,
             deferred_removals: Vec::new(),
             epoch: None,
@@ -124,7 +130,7 @@
                         log::warn!(prefix = self.prefix, error:%; "config: call of the platform failed; retrying");
                     }
                     self.record_failure();
-                    self.back_off().await;
+                    self.back_off(&error).await;
                 }
             }
         }
@@ -137,10 +143,14 @@
         log::info!(prefix = self.prefix, age_millis:?, members; "config: selected as watcher");
     }
 
-    async fn back_off(&mut self) {
+    async fn back_off(&mut self, error: &error::Error) {
         let jitter = rand::rng().random_range(1.0..2.0);
         let doublings = self.failures.saturating_sub(1).min(MAX_BACKOFF_DOUBLINGS);
-        let backoff = self.shared.timings.backoff * 2u32.pow(doublings);
+        let mut backoff = self.shared.timings.backoff * 2u32.pow(doublings);
+        // A platform that is available may cut off a watch.
+        if self.failures == 1 && is_unanswered_watch(error) {
+            backoff /= UNANSWERED_BACKOFF_DIVISOR;
+        }
         tokio::time::sleep(backoff.mul_f64(jitter)).await;
         self.apply_deferred_removals();
     }
@@ -212,9 +222,15 @@
     fn record_answer(&mut self) {
         self.shared.freshness.record_answer(Some(0));
         self.report_platform(true);
+        let now = Instant::now();
+        let silence = now.duration_since(std::mem::replace(&mut self.answered_at, now));
         if std::mem::take(&mut self.failures) > 0 {
-            log::info!(prefix = self.prefix; "config: platform answers again");
-            self.reconnected_at = Some(Instant::now());
+            let silence_millis = silence.as_millis() as u64;
+            log::info!(prefix = self.prefix, silence_millis; "config: platform answers again");
+            // Nothing has expired for want of a platform that was silent for a shorter time.
+            if silence >= self.shared.timings.expiry_time {
+                self.reconnected_at = Some(now);
+            }
         }
     }
 
@@ -372,6 +388,17 @@
     }
 }
 
+/// Whether a watch that was sent ended without an answer.
+fn is_unanswered_watch(error: &error::Error) -> bool {
+    matches!(
+        error,
+        error::Error::Unknown {
+            operation: error::Operation::Watch,
+            ..
+        }
+    )
+}
+
 /// The error of an answer from before the platform was restored from a backup.
 fn stale_answer(operation: error::Operation, revision: object::Version) -> error::Error {
     error::Error::NotDone {
--- a/crates/cluster/tests/engine/dissemination.rs
+++ b/crates/cluster/tests/engine/dissemination.rs
@@ -360,11 +360,7 @@
     let stored = || stores(&old.engine, &object::Key::Zones, version);
     fixture::eventually("object stored", stored).await;
     cut_off.set_available(false);
-    let key = object::Key::Zones.to_string();
-    let condition = monsooncart_store::object::Condition::Always;
-    let memory = platform.outage.memory();
-    let removed = monsooncart_store::store::Store::delete(memory.as_ref(), &key, condition);
-    removed.await.unwrap();
+    remove_zones(&platform).await;
 
     let recorder = fixture::recorder();
     let timings = config::Timings {
@@ -387,6 +383,64 @@
     assert!(!was_in_use);
 }
 
+/// Starts a daemon that never applies deferred removals, and stores zones in it. A silence of the
+/// platform of `expiry_time` counts as an outage.
+async fn start_deferring(platform: &Platform, expiry_time: Duration) -> Daemon {
+    let recorder = fixture::recorder();
+    let timings = config::Timings {
+        removal_delay: Duration::from_secs(3600),
+        expiry_time,
+        ..fixture::timings()
+    };
+    let config = fixture::settings("vm-0", &recorder).timings(timings);
+    let engine = config.store(platform.outage.clone()).start().await.unwrap();
+    let version = platform
+        .write(&object::Key::Zones, &platform::zones("attica-a"))
+        .await;
+    let stored = || stores(&engine, &object::Key::Zones, version);
+    fixture::eventually("object stored", stored).await;
+    Daemon { engine, recorder }
+}
+
+async fn remove_zones(platform: &Platform) {
+    let key = object::Key::Zones.to_string();
+    let condition = monsooncart_store::object::Condition::Always;
+    let memory = platform.outage.memory();
+    let removed = monsooncart_store::store::Store::delete(memory.as_ref(), &key, condition);
+    removed.await.unwrap();
+}
+
+/// Guards against servers that are in use after their removal because a watch was cut off (DRAIN).
+#[tokio::test]
+async fn a_removal_is_not_deferred_because_a_watch_was_cut_off() {
+    let platform = Platform::new();
+    let daemon = start_deferring(&platform, Duration::from_secs(30)).await;
+    // The watch waits again.
+    tokio::time::sleep(Duration::from_millis(300)).await;
+
+    platform.outage.cut_off_watches();
+    remove_zones(&platform).await;
+
+    let removed = || daemon.engine.replica().snapshot().zones().is_empty();
+    fixture::eventually("object removed", removed).await;
+}
+
+#[tokio::test]
+async fn a_removal_is_deferred_after_an_outage() {
+    let platform = Platform::new();
+    let expiry_time = Duration::from_millis(500);
+    let daemon = start_deferring(&platform, expiry_time).await;
+
+    platform.set_available(false);
+    tokio::time::sleep(2 * expiry_time).await;
+    remove_zones(&platform).await;
+    platform.set_available(true);
+    tokio::time::sleep(Duration::from_secs(2)).await;
+
+    let snapshot = daemon.engine.replica().snapshot();
+    assert!(!snapshot.zones().is_empty());
+}
+
 /// Zones whose value is too large for an announcement.
 fn many_zones(change: usize) -> object::Value {
     let zone = |number| zone::Zone {
--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -66,6 +66,10 @@
 /// servers register again within two seconds.
 const MISSING_SERVER_RETENTION: Duration = Duration::from_millis(2200);
 
+/// Minimum silence of the store in which the entry of a live server may expire: an entry expires after
+/// three missed heartbeats, of which the store may have missed two.
+const MIN_EXPIRY_SILENCE: Duration = Duration::from_secs(2);
+
 /// Bandwidth used per core, in Mbit/s: about 700 requests per second of 70 KB each.
 const LINK_MBPS_PER_CORE: f64 = 400.0;
 
@@ -188,6 +192,7 @@
         watchers: 1,
         reads_at_start: true,
         removal_delay: MISSING_SERVER_RETENTION,
+        expiry_time: MIN_EXPIRY_SILENCE,
         ..cluster::Timings::default()
     }
 }
--- a/crates/testbed/src/local/outage.rs
+++ b/crates/testbed/src/local/outage.rs
@@ -15,6 +15,8 @@
 pub struct Outage {
     memory: Arc<memory::Memory>,
     unavailable: watch::Sender<bool>,
+    /// Number of times that pending watches were cut off.
+    cuts: watch::Sender<u64>,
 }
 
 impl Outage {
@@ -24,6 +26,7 @@
         Self {
             memory,
             unavailable: watch::Sender::new(false),
+            cuts: watch::Sender::new(0),
         }
     }
 
@@ -32,6 +35,11 @@
         self.unavailable.send_replace(unavailable);
     }
 
+    /// Ends all pending watches without an answer; later calls are answered.
+    pub fn cut_off_watches(&self) {
+        self.cuts.send_modify(|cuts| *cuts += 1);
+    }
+
     /// The underlying store, which stays available during an outage.
     #[must_use]
     pub fn memory(&self) -> &Arc<memory::Memory> {
@@ -97,6 +105,7 @@
         Box::pin(async move {
             self.ensure_available(error::Operation::Watch)?;
             let mut unavailable = self.unavailable.subscribe();
+            let mut cuts = self.cuts.subscribe();
             // A pending watch ends when an outage starts.
             let outage = async {
                 let _started = unavailable
@@ -107,6 +116,11 @@
             let page = tokio::select! {
                 page = self.memory.watch(prefix, since, wait) => page,
                 () = outage => self.memory.watch(prefix, since, Duration::ZERO).await,
+                Ok(()) = cuts.changed() => Err(error::Error::Unknown {
+                    operation: error::Operation::Watch,
+                    peer: PEER.to_owned(),
+                    reason: "simulated end of the connection".to_owned(),
+                }),
             };
             self.ensure_available(error::Operation::Watch)?;
             page
--- a/tests/all/gateway.rs
+++ b/tests/all/gateway.rs
@@ -103,6 +103,28 @@
     assert_eq!(gateway.executions_by(0), before);
 }
 
+/// Guards against requests to a server that was removed just after the store cut off the watches
+/// (DRAIN).
+#[tokio::test(flavor = "multi_thread")]
+async fn removed_server_receives_no_work_after_the_store_cut_off_the_watches() {
+    let gateway = Gateway::start(1, 3).await;
+    // A daemon that knows no other one waits for some time before it watches.
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    gateway.reset_store_connections();
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    gateway.registry.delete("servers", gateway.servers[0].id());
+    tokio::time::sleep(Gateway::PROPAGATION_TIME).await;
+    let before = gateway.executions_by(0);
+
+    for number in 0..60 {
+        let daemon = &gateway.daemons[0];
+        let reply = daemon.send("GET", "/read/x", &format!("d{number}")).await;
+        assert_eq!(reply.expect("response").status, 200);
+    }
+
+    assert_eq!(gateway.executions_by(0), before);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn unrepeatable_requests_run_at_most_once_and_rejected_ones_never() {
     let gateway = Gateway::start(2, 3).await;
