--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -66,8 +66,8 @@
 /// servers register again within two seconds.
 const MISSING_SERVER_RETENTION: Duration = Duration::from_millis(2200);
 
-/// Minimum silence of the store in which the entry of a live server may expire: an entry expires after
-/// three missed heartbeats, of which the store may have missed two.
+/// Silence of the store from which entries of live servers may have expired. They expire after three
+/// heartbeat intervals of 1.5 s, the first of which may precede the silence.
 const MIN_EXPIRY_SILENCE: Duration = Duration::from_secs(2);
 
 /// Bandwidth used per core, in Mbit/s: about 700 requests per second of 70 KB each.
