--- a/tests/all/once.rs
+++ b/tests/all/once.rs
@@ -300,24 +300,21 @@
     let fleet = fleet::Fleet::start(plan).await;
     let headers = [("x-request-id", "broken")];
 
-    let crash = async {
-        let executing = wait::for_value("request is executing", || async {
-            let starts = fleet.backends.iter().map(|b| b.fetch_starts());
-            let starts = futures_util::future::join_all(starts).await;
-            starts.iter().position(|s| s.count > 0)
-        });
-        let executing = executing.await;
-        fleet.backends[executing].crash().await;
-        executing
-    };
+    let executing = wait::for_value("request is executing", || async {
+        let starts = fleet.backends.iter().map(|b| b.fetch_starts());
+        let starts = futures_util::future::join_all(starts).await;
+        starts.iter().position(|s| s.count > 0)
+    });
     let send = fleet.daemons[0].post("/wiredesk/once", &headers, "one");
-    tokio::pin!(send, crash);
+    tokio::pin!(send, executing);
     let crashed = tokio::select! {
         biased;
-        crashed = &mut crash => crashed,
-        reply = &mut send => panic!("response before the server crashed: {reply:?}"),
+        executing = &mut executing => executing,
+        reply = &mut send => panic!("response before the request was executing: {reply:?}"),
     };
-    let reply = send.await.expect("response");
+    // The response to the caller may come before the one to the crashing call.
+    let (reply, ()) = tokio::join!(send, fleet.backends[crashed].crash());
+    let reply = reply.expect("response");
 
     assert_eq!(reply.status, 502);
     assert_eq!(reply.header("monsooncart-outcome"), "unknown");
