Responses of a stopping daemon close kept connections before it refuses requests

Callers that keep a connection to a stopping daemon did not notice the stop until their requests were refused in the second half of the grace period.

Cause: `connection: close` was sent only from the end of the first phase on. Now it is sent once the entries that name the daemon have expired (half a second for the news and `entry_lifetime`), when callers that connect anew find other daemons. Requests are served as before until the second phase. HTTP/2 is unchanged.

--- a/crates/daemon/src/engine.rs
+++ b/crates/daemon/src/engine.rs
@@ -22,6 +22,9 @@
 /// Time for a planned stop to propagate to the entry responses of every daemon.
 const LEAVE_PROPAGATION_TIME: Duration = Duration::from_secs(2);
 
+/// The same with host routing, where news of members is spread faster.
+const GATEWAY_LEAVE_PROPAGATION_TIME: Duration = Duration::from_millis(500);
+
 /// Timeout for writing the ejection ledgers back during a planned stop.
 const LEDGER_STOP_TIMEOUT: Duration = Duration::from_secs(5);
 
@@ -275,7 +278,12 @@
             cluster.drain();
         }
         match &core.settings.gateway {
-            Some(gateway) => self.stop_within(stop::Schedule::new(gateway.grace.0)).await,
+            Some(gateway) => {
+                let entry_lifetime = core.settings.entry_lifetime.0;
+                let entry_expiry = GATEWAY_LEAVE_PROPAGATION_TIME + entry_lifetime;
+                let schedule = stop::Schedule::new(gateway.grace.0, entry_expiry);
+                self.stop_within(schedule).await;
+            }
             None => {
                 let accept_duration = LEAVE_PROPAGATION_TIME + core.settings.entry_lifetime.0;
                 tokio::time::sleep(accept_duration).await;
--- a/crates/policy/src/stop.rs
+++ b/crates/policy/src/stop.rs
@@ -6,6 +6,9 @@
 //! elsewhere. Hence each request that is sent in the second phase is waited for until its deadline,
 //! and each one that is sent in the first phase for the whole second phase at least.
 //!
+//! Callers that keep their connections would not notice the stop before the second phase. So
+//! responses ask them to connect anew as soon as they have entries without the daemon.
+//!
 //! A server begins its work when it has the whole request. One that is still being received counts
 //! as sent when it is complete, so it is not sent before unless its deadline is early enough.
 
@@ -26,6 +29,8 @@
 /// Phases of a planned stop, as times from its start.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Schedule {
+    /// From when on responses ask callers to connect anew.
+    pub release: Duration,
     /// Until when connections are accepted, and any request is sent.
     pub accept: Duration,
     /// When requests that wait for a server get a response from the daemon.
@@ -35,11 +40,13 @@
 }
 
 impl Schedule {
-    /// Divides a grace period.
+    /// Divides a grace period; entries that name the daemon are in use until `entry_expiry`.
     #[must_use]
-    pub fn new(grace: Duration) -> Self {
+    pub fn new(grace: Duration, entry_expiry: Duration) -> Self {
+        let accept = grace.mul_f64(ACCEPT_SHARE);
         Self {
-            accept: grace.mul_f64(ACCEPT_SHARE),
+            release: entry_expiry.min(accept),
+            accept,
             abandon: grace.mul_f64(ABANDON_SHARE),
             exit: grace.mul_f64(EXIT_SHARE),
         }
--- a/crates/policy/tests/stop.rs
+++ b/crates/policy/tests/stop.rs
@@ -6,6 +6,9 @@
 
 const STEP: Duration = Duration::from_millis(50);
 
+/// When entries that name the daemon are no longer in use.
+const ENTRY_EXPIRY: Duration = Duration::from_millis(1500);
+
 fn steps(end: Duration) -> impl Iterator<Item = Duration> {
     (0..)
         .map(|step| STEP * step)
@@ -14,7 +17,7 @@
 
 fn schedules() -> impl Iterator<Item = (Duration, stop::Schedule)> {
     let grace_periods = (1..=60).map(Duration::from_secs);
-    grace_periods.map(|grace| (grace, stop::Schedule::new(grace)))
+    grace_periods.map(|grace| (grace, stop::Schedule::new(grace, ENTRY_EXPIRY)))
 }
 
 /// Guards against requests that are passed on late in a planned stop and broken off at its end (LOST).
@@ -64,8 +67,20 @@
 #[test]
 fn the_phases_follow_each_other_within_the_grace_period() {
     for (grace, schedule) in schedules() {
+        assert!(schedule.release <= schedule.accept);
         assert!(schedule.accept < schedule.abandon);
         assert!(schedule.abandon < schedule.exit);
         assert!(schedule.exit < grace);
     }
 }
+
+/// Guards against callers that stay until they are refused, and against callers that come back at once as
+/// their entries still name the daemon.
+#[test]
+fn callers_are_released_once_entries_that_name_the_daemon_are_out_of_use() {
+    let schedule = stop::Schedule::new(Duration::from_secs(6), ENTRY_EXPIRY);
+    let short = stop::Schedule::new(Duration::from_secs(1), ENTRY_EXPIRY);
+
+    assert_eq!(schedule.release, ENTRY_EXPIRY);
+    assert_eq!(short.release, short.accept);
+}
--- a/crates/proxy/src/common.rs
+++ b/crates/proxy/src/common.rs
@@ -191,6 +191,13 @@
         *self.draining.borrow()
     }
 
+    /// Whether callers with a kept connection are to connect anew, because of a planned stop.
+    pub fn releases_callers(&self) -> bool {
+        let stop = self.stop.get();
+        let is_due = |stop: &Stop| stop.start.elapsed() >= stop.schedule.release;
+        self.is_draining() || stop.is_some_and(is_due)
+    }
+
     /// Whether a planned stop leaves time for a request with this deadline, which was received whole
     /// or is still being received.
     pub fn has_time(&self, deadline: Instant, is_received: bool) -> bool {
--- a/crates/proxy/src/request.rs
+++ b/crates/proxy/src/request.rs
@@ -100,7 +100,7 @@
         let responder: &'static str = responder.into();
         headers.insert(relay::HEADER, HeaderValue::from_static(responder));
     }
-    if shared.common.is_draining() && version < http::Version::HTTP_2 {
+    if shared.common.releases_callers() && version < http::Version::HTTP_2 {
         headers.insert(names::CONNECTION, HeaderValue::from_static("close"));
     }
     response
--- a/tests/all/gateway.rs
+++ b/tests/all/gateway.rs
@@ -316,6 +316,26 @@
     assert!(status.success(), "{status}");
 }
 
+/// Guards against callers that keep their connection to a daemon that stops, until they are refused.
+#[tokio::test(flavor = "multi_thread")]
+async fn kept_connections_are_closed_by_responses_before_a_planned_stop_refuses_requests() {
+    let mut gateway = Gateway::start(2, 1).await;
+    let leaving = gateway.daemons.remove(0);
+    let connection = http::Connection::open(leaving.caller_address()).await;
+    let mut connection = connection.expect("connection");
+    let request = leaving.request("GET", "/read/x", "first");
+    let first = connection.send(request).await.expect("response");
+
+    leaving.process.signal(Signal::TERM);
+    // Before half of the grace time, while any request is served.
+    tokio::time::sleep(Duration::from_millis(2300)).await;
+    let request = leaving.request("GET", "/read/x", "second");
+    let second = connection.send(request).await.expect("response");
+
+    assert_eq!((first.status, first.header("connection")), (200, ""));
+    assert_eq!((second.status, second.header("connection")), (200, "close"));
+}
+
 /// Guards against requests that are passed on late in a planned stop and broken off at the end of its
 /// grace time, among them unrepeatable ones (LOST).
 #[tokio::test(flavor = "multi_thread")]
