--- a/crates/proxy/src/fingerprint.rs
+++ b/crates/proxy/src/fingerprint.rs
@@ -1,14 +1,13 @@
 //! Fingerprints of requests, by which repeats of a request are recognised.
 //!
-//! The fingerprint of a whole request is formed while its body is received. That of a head, with the
-//! length that it states, stands for all requests that could be the same one as long as their
-//! bodies are unknown.
+//! The fingerprint of a whole request is formed once its body was received, so that a body that turns
+//! out to be streamed is not hashed. That of a head, with the length that it states, stands for all
+//! requests that could be the same one as long as their bodies are unknown.
 
-use bytes::Bytes;
 use monsooncart_policy::handle;
 use sha2::Digest as _;
 
-/// Forms the fingerprint of a whole request.
+/// Forms the fingerprints of a request.
 #[derive(Clone)]
 pub struct Hasher(sha2::Sha256);
 
@@ -24,13 +23,9 @@
         Self(digest)
     }
 
-    /// Adds the next bytes of the body.
-    pub fn update(&mut self, bytes: &Bytes) {
-        self.0.update(bytes);
-    }
-
-    /// Fingerprint of the request, whose body has ended.
-    pub fn finish(self) -> handle::Fingerprint {
+    /// Fingerprint of the request with this body.
+    pub fn finish(mut self, body: &[u8]) -> handle::Fingerprint {
+        self.0.update(body);
         handle::Fingerprint::of_request(truncate(self.0))
     }
 
--- a/crates/proxy/src/request/inbound_body.rs
+++ b/crates/proxy/src/request/inbound_body.rs
@@ -76,7 +76,7 @@
     bound: &Arc<memory::Bound>,
     mut incoming: Incoming,
     rules: Rules,
-    mut hasher: fingerprint::Hasher,
+    hasher: fingerprint::Hasher,
 ) -> Result<Received, problem::Problem> {
     let limit_bytes = rules.limit.map_or(u64::MAX, |limit| limit.0);
     let size = incoming.size_hint().exact();
@@ -84,7 +84,6 @@
         return Err(problem::Problem::too_large(limit_bytes));
     }
     let mut reservation = bound.reserve(size.unwrap_or(0).min(memory::STREAM_BYTES))?;
-    let head = hasher.clone();
     let mut max_buffered_bytes = rules.max_buffered_bytes();
     let mut buffered = BytesMut::new();
     if size.is_some_and(|size| size > max_buffered_bytes) {
@@ -103,16 +102,16 @@
         let frame = frame.map_err(|_| rules.stalled())?;
         match frame {
             None => {
+                let body = buffered.freeze();
                 return Ok(Received {
-                    body: payload::Source::Buffered(buffered.freeze()),
+                    fingerprint: hasher.finish(&body),
+                    body: payload::Source::Buffered(body),
                     reservation,
-                    fingerprint: hasher.finish(),
                 });
             }
             Some(Ok(frame)) => {
                 let data = frame.into_data().unwrap_or_default();
                 buffered.extend_from_slice(&data);
-                hasher.update(&data);
                 if size.is_none() {
                     let is_small = buffered.len() as u64 <= MAX_BUFFERED_BYTES;
                     match reservation.extend(data.len() as u64) {
@@ -135,6 +134,6 @@
     Ok(Received {
         body: payload::Source::Streamed(Arc::new(stream)),
         reservation,
-        fingerprint: head.finish_head(size),
+        fingerprint: hasher.finish_head(size),
     })
 }
