--- a/crates/proxy/tests/all/faults.rs
+++ b/crates/proxy/tests/all/faults.rs
@@ -4,11 +4,10 @@
 use std::time::Duration;
 
 use monsooncart_config::settings;
+use monsooncart_proxy::report;
 use monsooncart_testbed::backend::mode;
 use monsooncart_types::span;
 
-use monsooncart_proxy::report;
-
 use crate::scripted::{ScriptedServer, Step, response};
 use crate::{fakes, fixture};
 
