Outages of the store that follow each other count as one (DRAIN)

Since removals are deferred only after a silence of two seconds. Where the store goes away for a second, again and again, no silence is that long, but servers may miss every chance to write, and their entries expire; they would have been taken for gone.

Cause: each answer ended the silence. Now a disturbance lasts from the latest answer before its first failure on, and ends when no call has failed for two seconds, in which live servers have written again (spread::outage::Monitor).

--- a/crates/cluster/src/config.rs
+++ b/crates/cluster/src/config.rs
@@ -74,8 +74,8 @@
     /// Time by which the removal of objects that are missing after an outage of the platform is
     /// deferred.
     pub removal_delay: Duration,
-    /// Minimum silence of the platform that counts as such an outage: objects of live writers do not
-    /// expire in a shorter one.
+    /// Minimum length of such an outage, or of several that follow each other within this time: objects
+    /// of live writers do not expire in a shorter one.
     pub expiry_time: Duration,
 }
 
--- a/crates/cluster/src/spread.rs
+++ b/crates/cluster/src/spread.rs
@@ -12,6 +12,7 @@
 
 mod compare;
 mod fetch;
+mod outage;
 pub(crate) mod serve;
 pub(crate) mod staging;
 mod watch;
--- a/crates/cluster/src/spread/watch.rs
+++ b/crates/cluster/src/spread/watch.rs
@@ -10,7 +10,7 @@
 use monsooncart_wire::{frame, update};
 use rand::RngExt;
 
-use super::{freshness, held};
+use super::{freshness, held, outage};
 use crate::shared;
 
 /// Key by which the watchers of a region are ranked.
@@ -85,8 +85,7 @@
     prefix: &'static str,
     /// Consecutive failed calls.
     failures: u32,
-    /// Time of the latest answer.
-    answered_at: Instant,
+    outage: outage::Monitor,
     /// Time of the first answer after the latest outage.
     reconnected_at: Option<Instant>,
     deferred_removals: Vec<DeferredRemoval>,
@@ -100,12 +99,13 @@
         store: Arc<dyn store::Store>,
         prefix: &'static str,
     ) -> Self {
+        let outage = outage::Monitor::new(shared.timings.expiry_time, Instant::now());
         Self {
             shared,
             store,
             prefix,
             failures: 0,
-            answered_at: Instant::now(),
+            outage,
             reconnected_at: None,
             deferred_removals: Vec::new(),
             epoch: None,
@@ -208,6 +208,7 @@
     /// daemons watch. Every failure is reported, as a datagram may be lost.
     fn record_failure(&mut self) {
         self.failures += 1;
+        self.outage.record_failure(Instant::now());
         self.report_platform(false);
     }
 
@@ -222,13 +223,12 @@
     fn record_answer(&mut self) {
         self.shared.freshness.record_answer(Some(0));
         self.report_platform(true);
+        self.failures = 0;
         let now = Instant::now();
-        let silence = now.duration_since(std::mem::replace(&mut self.answered_at, now));
-        if std::mem::take(&mut self.failures) > 0 {
-            let silence_millis = silence.as_millis() as u64;
-            log::info!(prefix = self.prefix, silence_millis; "config: platform answers again");
-            // Nothing has expired for want of a platform that was silent for a shorter time.
-            if silence >= self.shared.timings.expiry_time {
+        if let Some(disturbance) = self.outage.record_answer(now) {
+            let disturbed_millis = disturbance.as_millis() as u64;
+            log::info!(prefix = self.prefix, disturbed_millis; "config: platform answers again");
+            if self.outage.is_outage(disturbance) {
                 self.reconnected_at = Some(now);
             }
         }
--- a/crates/cluster/tests/engine/main.rs
+++ b/crates/cluster/tests/engine/main.rs
@@ -11,4 +11,5 @@
 mod panics;
 mod platform;
 mod regions;
+mod removal;
 mod routing;
