--- a/crates/proxy/tests/all/allowances.rs
+++ b/crates/proxy/tests/all/allowances.rs
@@ -7,8 +7,8 @@
 use monsooncart_policy::allowance::Decision;
 use monsooncart_types::rate;
 
-use crate::fixture;
 use crate::scripted::{ScriptedServer, host_response};
+use crate::{fixture, host};
 
 const TIMEOUT: Duration = Duration::from_secs(30);
 
@@ -28,11 +28,11 @@
 }
 
 async fn start(server: &ScriptedServer) -> fixture::Proxy {
-    fixture::start_host_proxy_for(&[server.address], TIMEOUT, keys()).await
+    host::start_for(&[server.address], TIMEOUT, keys()).await
 }
 
 async fn send(proxy: &fixture::Proxy) -> fixture::Response {
-    let mut request = fixture::host_request("POST", "/orders/1");
+    let mut request = host::request("POST", "/orders/1");
     request.headers_mut().insert("x-key", KEY.parse().unwrap());
     fixture::send(proxy.address, request).await
 }
--- a/crates/proxy/tests/all/endless.rs
+++ b/crates/proxy/tests/all/endless.rs
@@ -7,8 +7,8 @@
 use http::StatusCode;
 use http_body_util::Full;
 
-use crate::fixture;
 use crate::scripted::{ScriptedServer, Step, response};
+use crate::{fixture, host};
 
 /// Timeout of the routes.
 const TIMEOUT: Duration = Duration::from_millis(400);
@@ -44,9 +44,9 @@
         ("", "no http at all "),
     ] {
         let server = ScriptedServer::start(endless(head, rest)).await;
-        let proxy = fixture::start_host_proxy(&[server.address], fixture::TEST_TIMEOUT).await;
+        let proxy = host::start(&[server.address], fixture::TEST_TIMEOUT).await;
 
-        let answer = fixture::send(proxy.address, fixture::host_request("POST", "/orders/1")).await;
+        let answer = fixture::send(proxy.address, host::request("POST", "/orders/1")).await;
 
         wait_until_closed(&server).await;
         assert_eq!(answer.status, StatusCode::BAD_GATEWAY, "{head:?}");
@@ -59,9 +59,9 @@
 async fn endless_informational_responses_end_with_the_timeout() {
     let continues = endless("", "HTTP/1.1 100 Continue\r\n\r\n");
     let server = ScriptedServer::start(continues).await;
-    let proxy = fixture::start_host_proxy(&[server.address], TIMEOUT).await;
+    let proxy = host::start(&[server.address], TIMEOUT).await;
 
-    let answer = fixture::send(proxy.address, fixture::host_request("POST", "/orders/1")).await;
+    let answer = fixture::send(proxy.address, host::request("POST", "/orders/1")).await;
 
     wait_until_closed(&server).await;
     assert!(answer.status.is_server_error(), "{answer:?}");
@@ -80,11 +80,11 @@
     ];
     let healthy = ScriptedServer::start(healthy).await;
     let addresses = [garbage.address, healthy.address];
-    let proxy = fixture::start_host_proxy(&addresses, fixture::TEST_TIMEOUT).await;
+    let proxy = host::start(&addresses, fixture::TEST_TIMEOUT).await;
 
     for number in 0..4 {
         let path = format!("/items/{number}");
-        let answer = fixture::send(proxy.address, fixture::host_request("GET", &path)).await;
+        let answer = fixture::send(proxy.address, host::request("GET", &path)).await;
 
         assert_eq!(answer.status, 200, "{path}");
         assert_eq!(answer.body, "ok");
@@ -105,9 +105,9 @@
         ),
     ] {
         let server = ScriptedServer::start(endless(head, rest)).await;
-        let proxy = fixture::start_host_proxy(&[server.address], TIMEOUT).await;
+        let proxy = host::start(&[server.address], TIMEOUT).await;
 
-        let sending = fixture::try_send(proxy.address, fixture::host_request("POST", "/orders/1"));
+        let sending = fixture::try_send(proxy.address, host::request("POST", "/orders/1"));
         let answer = tokio::time::timeout(fixture::TEST_TIMEOUT, sending).await;
 
         let answer = answer.expect("the response ends");
@@ -141,9 +141,9 @@
             rest => endless(&begin, rest),
         };
         let server = ScriptedServer::start(script).await;
-        let proxy = fixture::start_host_proxy(&[server.address], TIMEOUT).await;
+        let proxy = host::start(&[server.address], TIMEOUT).await;
 
-        let sending = fixture::try_send(proxy.address, fixture::host_request(method, path));
+        let sending = fixture::try_send(proxy.address, host::request(method, path));
         let answer = tokio::time::timeout(fixture::TEST_TIMEOUT / 3, sending).await;
 
         let answer = answer.expect("the response ends");
@@ -158,9 +158,9 @@
 #[tokio::test]
 async fn uploads_to_a_server_that_does_not_read_end_at_the_timeout() {
     let server = ScriptedServer::start(vec![Step::ReadHead, Step::Wait]).await;
-    let proxy = fixture::start_host_proxy(&[server.address], TIMEOUT).await;
+    let proxy = host::start(&[server.address], TIMEOUT).await;
     let body = Bytes::from(vec![b'a'; UPLOAD_BYTES]);
-    let request = fixture::host_request("POST", "/orders/1").map(|_| Full::new(body));
+    let request = host::request("POST", "/orders/1").map(|_| Full::new(body));
 
     let sending = fixture::try_send(proxy.address, request);
     let answer = tokio::time::timeout(fixture::TEST_TIMEOUT / 3, sending).await;
--- a/crates/proxy/tests/all/faults.rs
+++ b/crates/proxy/tests/all/faults.rs
@@ -9,7 +9,7 @@
 use monsooncart_types::span;
 
 use crate::scripted::{ScriptedServer, Step, response};
-use crate::{fakes, fixture};
+use crate::{fakes, fixture, host};
 
 fn mode(change: impl FnOnce(&mut mode::Mode)) -> mode::Mode {
     let mut mode = mode::Mode::default();
@@ -41,10 +41,10 @@
     for end in 0..head.len() {
         let script = vec![Step::ReadHead, Step::Write(head.as_bytes()[..end].to_vec())];
         let server = ScriptedServer::start(script).await;
-        let by_host = fixture::start_host_proxy(&[server.address], fixture::TEST_TIMEOUT).await;
+        let by_host = host::start(&[server.address], fixture::TEST_TIMEOUT).await;
         let own = fixture::start_proxy(&[server.address]).await;
 
-        let host_request = fixture::host_request("POST", "/orders/1");
+        let host_request = host::request("POST", "/orders/1");
         let by_host = fixture::try_send(by_host.address, host_request).await;
         let own_request = fixture::request("POST", "/order/1", "a");
         let own = fixture::try_send(own.address, own_request).await;
--- a/crates/proxy/tests/all/fixture.rs
+++ b/crates/proxy/tests/all/fixture.rs
@@ -11,12 +11,11 @@
 use hyper_util::rt::TokioIo;
 use monsooncart_config::routing::access;
 use monsooncart_config::{
-    object, objective, organisation, registration, route, routing, rules, server as spec, service,
-    settings, snapshot,
+    object, objective, organisation, route, rules, server as spec, service, settings, snapshot,
 };
-use monsooncart_proxy::{config, engine, host_routing, interface, pool};
+use monsooncart_proxy::{config, engine, interface, pool};
 use monsooncart_testbed::backend::{options, server};
-use monsooncart_types::{id, share, size, span};
+use monsooncart_types::{share, size, span};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::oneshot;
 
@@ -210,164 +209,7 @@
     )
 }
 
-/// Start of the run of all servers with host routing, in milliseconds.
-pub const SERVER_RUN: u64 = 1000;
-
-/// Names of headers with host routing.
-pub fn header_names() -> host_routing::HeaderNames {
-    host_routing::HeaderNames {
-        request: "x-request".parse().unwrap(),
-        deadline: "x-deadline".parse().unwrap(),
-        server: "x-server".parse().unwrap(),
-        not_run: "x-not-run".parse().unwrap(),
-        leaving: "x-leaving".parse().unwrap(),
-        rate_limit: "x-rate-limit".parse().unwrap(),
-        key: "x-key".parse().unwrap(),
-        organisation: "x-organisation".parse().unwrap(),
-    }
-}
-
-/// A request with host routing, whose id the scripted servers echo.
-pub fn host_request(method: &str, path: &str) -> Request<Full<Bytes>> {
-    let mut request = request(method, path, "");
-    let headers = request.headers_mut();
-    headers.insert("x-request", "1".parse().unwrap());
-    request
-}
-
-/// Starts an engine with host routing. `wires.example` has the repeatable route `/items/` and the
-/// unrepeatable route `/orders/`, both with this timeout.
-pub async fn start_host_proxy(addresses: &[net::SocketAddr], timeout: Duration) -> Proxy {
-    start_host_proxy_with(addresses, timeout, Arc::new(fakes::Naive)).await
-}
-
-/// As [`start_host_proxy`], with these policies.
-pub async fn start_host_proxy_with(
-    addresses: &[net::SocketAddr],
-    timeout: Duration,
-    policies: Arc<dyn interface::Policies>,
-) -> Proxy {
-    let access = access::Access::Open;
-    start_host_engine(addresses, timeout, policies, access).await
-}
-
-/// As [`start_host_proxy`], for callers with this access. `/open/` needs no key.
-pub async fn start_host_proxy_for(
-    addresses: &[net::SocketAddr],
-    timeout: Duration,
-    access: access::Access,
-) -> Proxy {
-    let policies = Arc::new(fakes::Selector);
-    start_host_engine(addresses, timeout, policies, access).await
-}
-
-/// As [`start_host_proxy`], for a daemon that holds at most this many bytes of bodies.
-pub async fn start_bounded_host_proxy(
-    addresses: &[net::SocketAddr],
-    timeout: Duration,
-    max_body_bytes: u64,
-) -> Proxy {
-    let config = config::Config::new("entry-1".parse().unwrap(), "attica-a".parse().unwrap());
-    let config = config.host_routing(Some(header_names()));
-    let config = config.policies(Arc::new(fakes::Selector));
-    let config = config.max_body_bytes(Some(max_body_bytes));
-    let snapshot = host_snapshot(addresses, timeout, access::Access::Open);
-    start_engine(bind_listener().await, config, snapshot)
-}
-
-/// As [`start_host_proxy`], with these limits of the listener for callers.
-pub async fn start_limited_host_proxy(
-    addresses: &[net::SocketAddr],
-    timeout: Duration,
-    limits: settings::Limits,
-) -> Proxy {
-    let config = config::Config::new("entry-1".parse().unwrap(), "attica-a".parse().unwrap());
-    let config = config.host_routing(Some(header_names())).limits(limits);
-    let config = config.policies(Arc::new(fakes::Naive));
-    let snapshot = host_snapshot(addresses, timeout, access::Access::Open);
-    start_engine(bind_listener().await, config, snapshot)
-}
-
-async fn start_host_engine(
-    addresses: &[net::SocketAddr],
-    timeout: Duration,
-    policies: Arc<dyn interface::Policies>,
-    access: access::Access,
-) -> Proxy {
-    let config = config::Config::new("entry-1".parse().unwrap(), "attica-a".parse().unwrap());
-    let config = config.host_routing(Some(header_names()));
-    let config = config.policies(policies);
-    start_engine(
-        bind_listener().await,
-        config,
-        host_snapshot(addresses, timeout, access),
-    )
-}
-
-fn host_route(prefix: &str, repeatable: bool, timeout: Duration) -> routing::Route {
-    routing::Route {
-        name: prefix.to_owned(),
-        host: "wires.example".to_owned(),
-        prefix: prefix.to_owned(),
-        repeatable,
-        timeout: Some(span::Span(timeout)),
-        objective: None,
-        attempts: 3,
-        priority: 1,
-        targets: vec![routing::Target {
-            service: "wiredesk".parse().unwrap(),
-            weight: 1.0,
-        }],
-        open: false,
-    }
-}
-
-fn host_snapshot(
-    addresses: &[net::SocketAddr],
-    timeout: Duration,
-    access: access::Access,
-) -> snapshot::Snapshot {
-    let service: id::Service = "wiredesk".parse().unwrap();
-    let routing = routing::Routing {
-        version: 1,
-        limits: routing::Limits::default(),
-        routes: vec![
-            host_route("/items/", true, timeout),
-            host_route("/orders/", false, timeout),
-            routing::Route {
-                open: true,
-                ..host_route("/open/", true, timeout)
-            },
-        ],
-        services: vec![routing::Service {
-            name: service.clone(),
-            health_path: None,
-            connections: 330,
-        }],
-        access,
-    };
-    let routing = object::Value::Routing(Box::new(routing));
-    let mut snapshot = snapshot::Snapshot::default()
-        .with_object(&object::Key::Routing, 1, routing)
-        .unwrap();
-    for (number, address) in addresses.iter().enumerate() {
-        let registration = registration::Registration {
-            service: service.clone(),
-            address: *address,
-            data_centre: "attica-a".parse().unwrap(),
-            slots: 64,
-            leaving: false,
-            cold: span::Span::default(),
-            started_millis: SERVER_RUN,
-        };
-        let key = object::Key::Registration(format!("server-{number}").parse().unwrap());
-        let value = object::Value::Registration(Some(Box::new(registration)));
-        snapshot = snapshot.with_object(&key, 1, value).unwrap();
-    }
-    snapshot
-}
-
-fn start_engine(
+pub fn start_engine(
     listener: TcpListener,
     config: config::Config,
     snapshot: snapshot::Snapshot,
--- a/crates/proxy/tests/all/keys.rs
+++ b/crates/proxy/tests/all/keys.rs
@@ -5,8 +5,8 @@
 use http::StatusCode;
 use monsooncart_config::routing::{access, digest};
 
-use crate::fixture;
 use crate::scripted::{ScriptedServer, host_response};
+use crate::{fixture, host};
 
 const TIMEOUT: Duration = Duration::from_secs(30);
 
@@ -31,7 +31,7 @@
 
 /// A request with these keys and the name of an organisation that the caller made up.
 fn request(path: &str, keys: &[&str]) -> http::Request<http_body_util::Full<bytes::Bytes>> {
-    let mut request = fixture::host_request("POST", path);
+    let mut request = host::request("POST", path);
     let headers = request.headers_mut();
     headers.insert("x-organisation", "made-up".parse().unwrap());
     for key in keys {
@@ -46,7 +46,7 @@
 async fn a_server_receives_the_organisation_and_not_the_key() {
     let server = server().await;
     let access = keys(vec![organisation("paper", KEY)]);
-    let proxy = fixture::start_host_proxy_for(&[server.address], TIMEOUT, access).await;
+    let proxy = host::start_for(&[server.address], TIMEOUT, access).await;
 
     let response = fixture::send(proxy.address, request("/orders/1", &[KEY])).await;
 
@@ -65,7 +65,7 @@
         organisation("paper", KEY),
         organisation("radio", "other"),
     ]);
-    let proxy = fixture::start_host_proxy_for(&[server.address], TIMEOUT, access).await;
+    let proxy = host::start_for(&[server.address], TIMEOUT, access).await;
 
     for keys in [&[][..], &["unknown"], &[""], &[KEY, "other"]] {
         let response = fixture::send(proxy.address, request("/orders/1", keys)).await;
@@ -83,7 +83,7 @@
 async fn a_withdrawn_key_is_refused_on_an_open_connection() {
     let server = server().await;
     let with_key = keys(vec![organisation("paper", KEY)]);
-    let proxy = fixture::start_host_proxy_for(&[server.address], TIMEOUT, with_key).await;
+    let proxy = host::start_for(&[server.address], TIMEOUT, with_key).await;
     let mut connection = fixture::connect(proxy.address).await;
     let first = connection
         .send_request(request("/orders/1", &[KEY]))
@@ -110,7 +110,7 @@
 async fn an_open_route_needs_no_key_and_forwards_none() {
     let server = server().await;
     let access = keys(vec![organisation("paper", KEY)]);
-    let proxy = fixture::start_host_proxy_for(&[server.address], TIMEOUT, access).await;
+    let proxy = host::start_for(&[server.address], TIMEOUT, access).await;
 
     for keys in [&[][..], &[KEY], &["unknown"]] {
         let response = fixture::send(proxy.address, request("/open/1", keys)).await;
@@ -129,7 +129,7 @@
 async fn a_request_with_a_key_waits_for_a_daemon_that_knows_the_organisations() {
     let server = server().await;
     let access = access::Access::Unknown;
-    let proxy = fixture::start_host_proxy_for(&[server.address], TIMEOUT, access).await;
+    let proxy = host::start_for(&[server.address], TIMEOUT, access).await;
 
     let response = fixture::send(proxy.address, request("/orders/1", &[KEY])).await;
 
@@ -143,12 +143,12 @@
 async fn a_relay_receives_the_organisation_and_not_the_key() {
     let server = server().await;
     let access = || keys(vec![organisation("paper", KEY)]);
-    let relay = fixture::start_host_proxy_for(&[server.address], TIMEOUT, access()).await;
+    let relay = host::start_for(&[server.address], TIMEOUT, access()).await;
     let closed = [
         fixture::closed_address().await,
         fixture::closed_address().await,
     ];
-    let proxy = fixture::start_host_proxy_for(&closed, TIMEOUT, access()).await;
+    let proxy = host::start_for(&closed, TIMEOUT, access()).await;
     proxy.fakes.fleet.set_relay(relay.engine.clone());
     proxy.engine.refresh_daemons();
 
--- a/crates/proxy/tests/all/main.rs
+++ b/crates/proxy/tests/all/main.rs
@@ -17,6 +17,7 @@
 mod cancelling;
 mod faults;
 mod forwarding;
+mod host;
 mod keys;
 
 mod leaving;
--- a/crates/proxy/tests/all/memory_bound.rs
+++ b/crates/proxy/tests/all/memory_bound.rs
@@ -8,8 +8,8 @@
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::TcpStream;
 
-use crate::fixture;
 use crate::scripted::{ScriptedServer, Step, host_response};
+use crate::{fixture, host};
 
 const TIMEOUT: Duration = Duration::from_secs(30);
 
@@ -20,7 +20,7 @@
 const MAX_BODY_BYTES: u64 = 60_000;
 
 fn upload(bytes: usize) -> http::Request<Full<Bytes>> {
-    let mut request = fixture::host_request("POST", "/orders/1");
+    let mut request = host::request("POST", "/orders/1");
     *request.body_mut() = Full::new(Bytes::from(vec![7; bytes]));
     request
 }
@@ -31,7 +31,7 @@
 async fn uploads_beyond_the_bound_are_refused_as_not_run_and_small_requests_pass() {
     let script = vec![Step::ReadHead, Step::Read(BODY_BYTES), Step::Wait];
     let slow = ScriptedServer::start(script).await;
-    let proxy = fixture::start_bounded_host_proxy(&[slow.address], TIMEOUT, MAX_BODY_BYTES).await;
+    let proxy = host::start_bounded(&[slow.address], TIMEOUT, MAX_BODY_BYTES).await;
     let address = proxy.address;
     let held = tokio::spawn(fixture::try_send(address, upload(BODY_BYTES)));
     fixture::wait_until("the server has the body", || {
@@ -59,7 +59,7 @@
 #[tokio::test]
 async fn responses_are_delivered_beyond_the_bound() {
     let server = ScriptedServer::start(host_response("200 OK", "")).await;
-    let proxy = fixture::start_bounded_host_proxy(&[server.address], TIMEOUT, 0).await;
+    let proxy = host::start_bounded(&[server.address], TIMEOUT, 0).await;
 
     let response = fixture::send(proxy.address, upload(100)).await;
 
@@ -81,7 +81,7 @@
         Step::ReadEnd,
     ];
     let server = ScriptedServer::start(script).await;
-    let proxy = fixture::start_host_proxy(&[server.address], TIMEOUT).await;
+    let proxy = host::start(&[server.address], TIMEOUT).await;
     let mut caller = TcpStream::connect(proxy.address).await.unwrap();
     let request =
         "GET /items/1 HTTP/1.1\r\nhost: wires.example\r\nx-request: 1\r\nconnection: close\r\n\r\n";
--- a/crates/proxy/tests/all/not_run.rs
+++ b/crates/proxy/tests/all/not_run.rs
@@ -1,7 +1,7 @@
 //! Work that is reported as not run was not run, for failures at every step of an exchange.
 
-use crate::fixture;
 use crate::scripted::{ScriptedServer, Step, response};
+use crate::{fixture, host};
 
 /// Length of a request body that is large enough to be streamed.
 const BODY_BYTES: usize = 4 << 20;
@@ -80,9 +80,9 @@
     for earlier in ["0", "2"] {
         let script = vec![Step::ReadHead, refusal(earlier), Step::ReadEnd];
         let server = ScriptedServer::start(script).await;
-        let proxy = fixture::start_host_proxy(&[server.address], fixture::TEST_TIMEOUT).await;
+        let proxy = host::start(&[server.address], fixture::TEST_TIMEOUT).await;
 
-        let answer = fixture::send(proxy.address, fixture::host_request("POST", "/orders/1")).await;
+        let answer = fixture::send(proxy.address, host::request("POST", "/orders/1")).await;
 
         assert_eq!(answer.status, 502);
         assert_eq!(server.heads(), 1);
--- a/crates/proxy/tests/all/rate_limits.rs
+++ b/crates/proxy/tests/all/rate_limits.rs
@@ -6,7 +6,7 @@
 use monsooncart_types::{id, rate};
 
 use crate::scripted::{ScriptedServer, Step, host_response};
-use crate::{fakes, fixture};
+use crate::{fakes, fixture, host};
 
 /// Timeout of the routes.
 const TIMEOUT: Duration = Duration::from_secs(30);
@@ -18,8 +18,8 @@
 async fn reported_limits(status: &str, headers: &str) -> Vec<(id::Server, Option<rate::Rate>)> {
     let server = ScriptedServer::start(host_response(status, headers)).await;
     let policies = Arc::new(fakes::Selector);
-    let proxy = fixture::start_host_proxy_with(&[server.address], TIMEOUT, policies).await;
-    fixture::send(proxy.address, fixture::host_request("POST", "/orders/1")).await;
+    let proxy = host::start_with(&[server.address], TIMEOUT, policies).await;
+    fixture::send(proxy.address, host::request("POST", "/orders/1")).await;
     proxy.fakes.fleet.rate_limits()
 }
 
@@ -61,11 +61,11 @@
 async fn server_with_a_rate_limit_of_zero_is_not_sent_every_request() {
     let server = ScriptedServer::start(host_response("200 OK", "x-rate-limit: 0\r\n")).await;
     let policies = Arc::new(fakes::Selector);
-    let proxy = fixture::start_host_proxy_with(&[server.address], TIMEOUT, policies).await;
+    let proxy = host::start_with(&[server.address], TIMEOUT, policies).await;
     let mut refused = 0;
 
     for _ in 0..REQUESTS {
-        let answer = fixture::send(proxy.address, fixture::host_request("POST", "/orders/1")).await;
+        let answer = fixture::send(proxy.address, host::request("POST", "/orders/1")).await;
         refused += usize::from(answer.status == http::StatusCode::SERVICE_UNAVAILABLE);
     }
 
@@ -88,9 +88,9 @@
     ];
     let server = ScriptedServer::start(steps).await;
     let policies = Arc::new(fakes::Selector);
-    let proxy = fixture::start_host_proxy_with(&[server.address], TIMEOUT, policies).await;
+    let proxy = host::start_with(&[server.address], TIMEOUT, policies).await;
     for _ in 0..2 {
-        fixture::send(proxy.address, fixture::host_request("GET", "/items/1")).await;
+        fixture::send(proxy.address, host::request("GET", "/items/1")).await;
     }
     assert_eq!(server.connections(), 1);
     let reported = proxy.fakes.fleet.rate_limits().into_iter();
--- a/crates/proxy/tests/all/relaying.rs
+++ b/crates/proxy/tests/all/relaying.rs
@@ -8,7 +8,7 @@
 use monsooncart_config::routing;
 
 use crate::scripted::{ScriptedServer, Step, host_response};
-use crate::{fakes, fixture};
+use crate::{fakes, fixture, host};
 
 /// Timeout of the routes.
 const TIMEOUT: Duration = Duration::from_secs(30);
@@ -20,8 +20,8 @@
         fixture::closed_address().await,
     ];
     let policies = || Arc::new(fakes::Selector);
-    let relay = fixture::start_host_proxy_with(&[server.address], TIMEOUT, policies()).await;
-    let daemon = fixture::start_host_proxy_with(&closed, TIMEOUT, policies()).await;
+    let relay = host::start_with(&[server.address], TIMEOUT, policies()).await;
+    let daemon = host::start_with(&closed, TIMEOUT, policies()).await;
     daemon.fakes.fleet.set_relay(relay.engine.clone());
     daemon.engine.refresh_daemons();
     (daemon, relay)
@@ -48,7 +48,7 @@
         let server = ScriptedServer::start(respond_with(b"whole")).await;
         let (daemon, _relay) = start(&server).await;
 
-        let response = fixture::send(daemon.address, fixture::host_request(method, path)).await;
+        let response = fixture::send(daemon.address, host::request(method, path)).await;
 
         assert_eq!(response.status, StatusCode::OK, "{method}");
         assert_eq!(response.body, "whole");
@@ -67,7 +67,7 @@
     let server = ScriptedServer::start(respond_with(&body)).await;
     let (daemon, _relay) = start(&server).await;
 
-    let request = fixture::host_request("GET", "/items/1");
+    let request = host::request("GET", "/items/1");
     let response = fixture::send(daemon.address, request).await;
 
     assert_eq!(response.status, StatusCode::OK);
@@ -79,7 +79,7 @@
 async fn head_of_the_largest_size_is_relayed() {
     let server = ScriptedServer::start(respond_with(b"whole")).await;
     let (daemon, _relay) = start(&server).await;
-    let mut request = fixture::host_request("POST", "/orders/1");
+    let mut request = host::request("POST", "/orders/1");
     let headers = request.headers_mut();
     headers.insert("x-deadline", "99000".parse().unwrap());
     headers.insert("content-length", "0".parse().unwrap());
@@ -104,7 +104,7 @@
     let server = ScriptedServer::start(script).await;
     let (daemon, _relay) = start(&server).await;
 
-    let request = fixture::host_request("POST", "/orders/1");
+    let request = host::request("POST", "/orders/1");
     let response = fixture::send(daemon.address, request).await;
 
     assert_eq!(response.status, StatusCode::SERVICE_UNAVAILABLE);
@@ -117,7 +117,7 @@
 async fn unrepeatable_request_whose_relay_goes_away_is_reported_as_unknown_and_not_sent_again() {
     let server = ScriptedServer::start(vec![Step::ReadHead, Step::ReadEnd]).await;
     let (daemon, _relay) = start(&server).await;
-    let request = fixture::host_request("POST", "/orders/1");
+    let request = host::request("POST", "/orders/1");
     let sending = tokio::spawn(fixture::try_send(daemon.address, request));
     fixture::wait_until("send", || server.heads() == 1).await;
 
@@ -133,7 +133,7 @@
 async fn caller_that_disconnects_cancels_the_attempt_of_the_relay() {
     let server = ScriptedServer::start(vec![Step::ReadHead, Step::ReadEnd]).await;
     let (daemon, relay) = start(&server).await;
-    let request = fixture::host_request("POST", "/orders/1");
+    let request = host::request("POST", "/orders/1");
     let sending = tokio::spawn(fixture::try_send(daemon.address, request));
     fixture::wait_until("send", || server.heads() == 1).await;
 
@@ -151,7 +151,7 @@
     let server = ScriptedServer::start(script).await;
     let (daemon, relay) = start(&server).await;
 
-    let request = fixture::host_request("POST", "/orders/1");
+    let request = host::request("POST", "/orders/1");
     let response = fixture::send(daemon.address, request).await;
 
     assert_eq!(response.status, StatusCode::OK);
@@ -167,7 +167,7 @@
     let script = vec![Step::ReadHead, Step::Wait, Step::Write(body.to_vec())];
     let server = ScriptedServer::start(script).await;
     let (daemon, mut relay) = start(&server).await;
-    let request = fixture::host_request("POST", "/orders/1");
+    let request = host::request("POST", "/orders/1");
     let sending = tokio::spawn(fixture::try_send(daemon.address, request));
     fixture::wait_until("send", || server.heads() == 1).await;
 
@@ -193,7 +193,7 @@
     daemon.engine.refresh_daemons();
     other.engine.refresh_daemons();
 
-    let request = fixture::host_request("POST", "/orders/1");
+    let request = host::request("POST", "/orders/1");
     let response = fixture::send(daemon.address, request).await;
 
     assert_eq!(response.status, StatusCode::SERVICE_UNAVAILABLE);
@@ -213,7 +213,7 @@
     let server = ScriptedServer::start(script).await;
     let (daemon, _relay) = start(&server).await;
     let mut sender = fixture::connect(daemon.address).await;
-    let request = fixture::host_request("GET", "/items/1");
+    let request = host::request("GET", "/items/1");
     let mut body = sender.send_request(request).await.unwrap().into_body();
     body.frame().await.unwrap().unwrap();
 
--- a/crates/proxy/tests/all/retry_after.rs
+++ b/crates/proxy/tests/all/retry_after.rs
@@ -6,7 +6,7 @@
 use http::StatusCode;
 
 use crate::scripted::{ScriptedServer, host_response};
-use crate::{fakes, fixture};
+use crate::{fakes, fixture, host};
 
 /// Timeout of the routes.
 const TIMEOUT: Duration = Duration::from_secs(30);
@@ -15,7 +15,7 @@
 async fn start(status: &str, headers: &str) -> (ScriptedServer, fixture::Proxy) {
     let server = ScriptedServer::start(host_response(status, headers)).await;
     let policies = Arc::new(fakes::Selector);
-    let proxy = fixture::start_host_proxy_with(&[server.address], TIMEOUT, policies).await;
+    let proxy = host::start_with(&[server.address], TIMEOUT, policies).await;
     (server, proxy)
 }
 
@@ -37,9 +37,9 @@
         ),
     ] {
         let (server, proxy) = start(status, headers).await;
-        fixture::send(proxy.address, fixture::host_request("POST", "/orders/1")).await;
+        fixture::send(proxy.address, host::request("POST", "/orders/1")).await;
 
-        let second = fixture::send(proxy.address, fixture::host_request("POST", "/orders/1")).await;
+        let second = fixture::send(proxy.address, host::request("POST", "/orders/1")).await;
 
         assert_eq!(second.status, StatusCode::SERVICE_UNAVAILABLE, "{headers}");
         assert_eq!(server.heads(), 1, "{status} {headers}");
@@ -70,9 +70,9 @@
         ),
     ] {
         let (server, proxy) = start(status, headers).await;
-        fixture::send(proxy.address, fixture::host_request("POST", "/orders/1")).await;
+        fixture::send(proxy.address, host::request("POST", "/orders/1")).await;
 
-        let second = fixture::send(proxy.address, fixture::host_request("POST", "/orders/1")).await;
+        let second = fixture::send(proxy.address, host::request("POST", "/orders/1")).await;
 
         let retry_after = second.header("retry-after").parse::<u64>();
         let is_delayed = server.heads() == 1 && retry_after.is_ok_and(|seconds| seconds > 800);
--- a/crates/proxy/tests/all/statuses.rs
+++ b/crates/proxy/tests/all/statuses.rs
@@ -11,7 +11,7 @@
 use tokio::net::TcpStream;
 
 use crate::scripted::{ScriptedServer, Step};
-use crate::{fakes, fixture};
+use crate::{fakes, fixture, host};
 
 /// Asserts that a response is a local reply that reports the request as not run.
 fn assert_not_run(response: &fixture::Response, status: u16) {
@@ -249,7 +249,7 @@
         ..fixture::limits()
     };
     let addresses = [server.address];
-    let proxy = fixture::start_limited_host_proxy(&addresses, fixture::TEST_TIMEOUT, limits).await;
+    let proxy = host::start_limited(&addresses, fixture::TEST_TIMEOUT, limits).await;
     let mut caller = TcpStream::connect(proxy.address).await.unwrap();
     let half = vec![b'a'; 80 << 10];
     let head = format!(
