testbed: stops counts all requests, and swallows no error

`stops` left out requests that ended by a failure or at the end of their time, so that its counts did not add up; they are `failed` now. A target that cannot be built is logged, where it was replaced by "/". A body that was never sent whole is called so in the description of a lost request. The rule is unchanged.

--- a/crates/testbed/src/soak/stops.rs
+++ b/crates/testbed/src/soak/stops.rs
@@ -57,6 +57,8 @@
     pub refused: usize,
     /// Requests that ended without a response and were not executed.
     pub unread: usize,
+    /// All others: ended by a failure or at the end of their time.
+    pub failed: usize,
     /// Lost requests, described.
     pub lost: Vec<String>,
     /// Unrepeatable requests that were executed although they were reported as not run.
@@ -83,12 +85,13 @@
         }
         write!(
             f,
-            "stops={} requests={} answered={} refused={} unread={} overdue={} lost={}",
+            "stops={} requests={} answered={} refused={} unread={} failed={} overdue={} lost={}",
             self.stops,
             self.requests,
             self.answered,
             self.refused,
             self.unread,
+            self.failed,
             self.overdue,
             self.lost.len()
         )
--- a/crates/testbed/src/soak/stops/caller.rs
+++ b/crates/testbed/src/soak/stops/caller.rs
@@ -318,7 +318,10 @@
             ""
         };
         let authority = authority.replace("wires.example", site::HOST);
-        *request.uri_mut() = format!("{authority}{path}").parse().unwrap_or_default();
+        match format!("{authority}{path}").parse() {
+            Ok(uri) => *request.uri_mut() = uri,
+            Err(error) => log::error!(path:%, error:%; "stops: could not build target of request"),
+        }
         let headers = request.headers_mut();
         headers.insert("host", http::HeaderValue::from_static(site::HOST));
         headers.insert("x-deadline-ms", (kind.budget.as_millis() as u64).into());
--- a/crates/testbed/src/soak/stops/check.rs
+++ b/crates/testbed/src/soak/stops/check.rs
@@ -99,7 +99,10 @@
                 }
             }
             Outcome::Closed if executions.is_empty() => report.unread += 1,
-            _ => {}
+            Outcome::Answered { .. }
+            | Outcome::Truncated { .. }
+            | Outcome::Closed
+            | Outcome::GaveUp => report.failed += 1,
         }
         let own_stops = stops.iter().filter(|stop| stop.daemon == request.daemon);
         for stop in own_stops {
@@ -173,7 +176,9 @@
         request.daemon.0,
         request.daemon.1,
         since(request.sent_at),
-        request.body_sent_at.map(since).unwrap_or_default(),
+        request
+            .body_sent_at
+            .map_or_else(|| "never".to_owned(), since),
         since(request.ended_at),
         request.outcome,
     )
