A response without a length that was received in time is delivered late, too (CONFIG)

What callers saw: a response in chunks, or one that ends with its connection, of up to 1 MiB is received whole before it is forwarded. If its caller had not read all of it at the timeout of the route, the rest was cut off, although the daemon had it: ready answers are to be delivered, also late. A response with a length was delivered.

Cause: hyper's body says that it is at its end by its length alone. Without a length, a body that had ended counted as streamed, so that the deadline applied to it. For the same reason a server error without a length was never withheld for a retry, and its connection returned to the pool only once the caller had read it.

Change: the reply keeps whether its end was received (`exchange::Reply::ended`).

--- a/crates/proxy/src/exchange.rs
+++ b/crates/proxy/src/exchange.rs
@@ -47,6 +47,8 @@
     pub prefix: prefix::Prefix,
     /// Remainder of the body.
     pub rest: Incoming,
+    /// Whether the end of a body without a length was received.
+    pub ended: bool,
 }
 
 /// A failed exchange.
@@ -202,6 +204,7 @@
         head,
         prefix: prefix::Prefix::default(),
         rest,
+        ended: false,
     };
     match (&common.host_headers, call.buffer_prefix) {
         (Some(_), _) => buffering::buffer_body(&mut reply, call.deadlines.request()).await?,
@@ -216,7 +219,7 @@
 
 impl Reply {
     pub fn is_fully_buffered(&self) -> bool {
-        self.rest.is_end_stream()
+        self.ended || self.rest.is_end_stream()
     }
 
     /// Whether the server closes the connection after this response.
--- a/crates/proxy/src/exchange/buffering.rs
+++ b/crates/proxy/src/exchange/buffering.rs
@@ -20,9 +20,12 @@
 /// Buffers a body up to [`MAX_BUFFERED_BODY_BYTES`], so that a truncated or late response is
 /// detected before the caller receives a byte of it.
 pub async fn buffer_body(reply: &mut Reply, deadline: Instant) -> Result<(), Failure> {
-    while reply.prefix.byte_count() < MAX_BUFFERED_BODY_BYTES && !reply.rest.is_end_stream() {
+    while reply.prefix.byte_count() < MAX_BUFFERED_BODY_BYTES && !reply.is_fully_buffered() {
         let frame = match timeout_at(deadline, reply.rest.frame()).await {
-            Ok(None) => return Ok(()),
+            Ok(None) => {
+                reply.ended = true;
+                return Ok(());
+            }
             Ok(Some(Ok(frame))) => frame,
             Ok(Some(Err(error))) => return Err(classify_error(&error).into()),
             Err(_) => return Err(Failure::expired(deadline::Phase::ResponseBody)),
@@ -48,7 +51,10 @@
     while reply.prefix.byte_count() < RETRY_BUFFER_BYTES && !reply.rest.is_end_stream() {
         let stall_deadline = Instant::now() + stall_timeout;
         let frame = match timeout_at(stall_deadline.min(deadline), reply.rest.frame()).await {
-            Ok(None) => return Ok(()),
+            Ok(None) => {
+                reply.ended = true;
+                return Ok(());
+            }
             Ok(Some(Ok(frame))) => frame,
             Ok(Some(Err(error))) => return Err(classify_error(&error).into()),
             Err(_) if Instant::now() >= deadline => return Ok(()),
--- a/crates/proxy/src/exchange/relayed.rs
+++ b/crates/proxy/src/exchange/relayed.rs
@@ -94,6 +94,7 @@
         head,
         prefix: prefix::Prefix::default(),
         rest,
+        ended: false,
     };
     reply.head.headers.remove(relay::HEADER);
     reply.head.headers.remove(names::CONNECTION);
--- a/crates/proxy/src/forwarded.rs
+++ b/crates/proxy/src/forwarded.rs
@@ -38,6 +38,8 @@
 pub struct Forwarded {
     prefix: prefix::Prefix,
     rest: Incoming,
+    /// Whether all of the body was received.
+    ended: bool,
     status: u16,
     stall: stall::Timer,
     /// Ends a body whose length, if it states one, the server may never reach.
@@ -55,6 +57,7 @@
         deadline: Option<Instant>,
     ) -> Self {
         let mut forwarded = Self {
+            ended: reply.is_fully_buffered(),
             prefix: reply.prefix,
             rest: reply.rest,
             status: reply.head.status.as_u16(),
@@ -68,7 +71,7 @@
     }
 
     fn is_at_end(&self) -> bool {
-        self.prefix.is_empty() && self.rest.is_end_stream()
+        self.prefix.is_empty() && (self.ended || self.rest.is_end_stream())
     }
 
     fn finish_at_end(&mut self) {
@@ -133,6 +136,10 @@
             this.count_frame(&frame);
             return Poll::Ready(Some(Ok(frame)));
         }
+        if this.ended {
+            this.finish();
+            return Poll::Ready(None);
+        }
         if this.poll_deadline(cx).is_ready() {
             if let Some(parts) = &mut this.parts {
                 parts.account.record_expiry(deadline::Phase::ResponseBody);
@@ -165,7 +172,10 @@
     }
 
     fn size_hint(&self) -> SizeHint {
-        let rest = self.rest.size_hint().exact();
+        let rest = match self.ended {
+            true => Some(0),
+            false => self.rest.size_hint().exact(),
+        };
         rest.map(|rest| SizeHint::with_exact(self.prefix.byte_count() + rest))
             .unwrap_or_default()
     }
