--- a/crates/proxy/src/exchange.rs
+++ b/crates/proxy/src/exchange.rs
@@ -202,12 +202,12 @@
     let mut reply = Reply {
         connection: Some(connection),
         head,
-        prefix: prefix::Prefix::default(),
+        prefix: prefix::Prefix::new(&common.bodies),
         rest,
         ended: false,
     };
     match (&common.host_headers, call.buffer_prefix) {
-        (Some(_), _) => buffering::buffer_body(&mut reply, call, common.link_pace).await?,
+        (Some(_), _) => buffering::buffer_body(&mut reply, call, common).await?,
         (None, true) => {
             let stall_timeout = common.limits().body_timeout.0;
             buffering::buffer_prefix(&mut reply, stall_timeout, call.deadlines.request()).await?;
--- a/crates/proxy/src/exchange/buffering.rs
+++ b/crates/proxy/src/exchange/buffering.rs
@@ -8,7 +8,7 @@
 use tokio::time::{Instant, timeout_at};
 
 use super::{Call, Failure, Reply, classify_error};
-use crate::{deadline, pace};
+use crate::{common, deadline, memory, pace};
 
 /// Bytes at the beginning of a response that are buffered before it is forwarded, so that a
 /// repeatable request can be retried if the response ends within them.
@@ -18,8 +18,7 @@
 const MAX_BUFFERED_BODY_BYTES: u64 = 1 << 20;
 
 /// Buffers a body up to [`MAX_BUFFERED_BODY_BYTES`], so that a truncated or late response is
-/// detected before the caller receives a byte of it. `link` is the pace of the VM's link, if it is
-/// known.
+/// detected before the caller receives a byte of it; less if too much is held already.
 ///
 /// # Errors
 ///
@@ -27,12 +26,12 @@
 pub async fn buffer_body(
     reply: &mut Reply,
     call: &Call,
-    link: Option<pace::Pace>,
+    common: &common::Common,
 ) -> Result<(), Failure> {
     let deadline = call.deadlines.request();
-    check_length(reply, call, link)?;
+    check_length(reply, call, common.link_pace)?;
     let mut meter = pace::Meter::new(Instant::now());
-    while reply.prefix.byte_count() < MAX_BUFFERED_BODY_BYTES && !reply.is_fully_buffered() {
+    while may_buffer(reply, common) && !reply.is_fully_buffered() {
         let frame = match timeout_at(deadline, reply.rest.frame()).await {
             Ok(None) => {
                 reply.ended = true;
@@ -50,6 +49,13 @@
     check_length(reply, call, meter.fastest())
 }
 
+/// Whether more of a body may be buffered.
+fn may_buffer(reply: &Reply, common: &common::Common) -> bool {
+    let bytes = reply.prefix.byte_count();
+    let has_room = bytes < memory::SMALL_BYTES || common.bodies.has_room_for_responses();
+    bytes < MAX_BUFFERED_BODY_BYTES && has_room
+}
+
 /// Checks that the rest of a body of known length can be received by the deadline at this pace.
 fn check_length(reply: &Reply, call: &Call, pace: Option<pace::Pace>) -> Result<(), Failure> {
     let (Some(bytes), Some(pace)) = (reply.rest.size_hint().exact(), pace) else {
--- a/crates/proxy/src/exchange/relayed.rs
+++ b/crates/proxy/src/exchange/relayed.rs
@@ -92,13 +92,13 @@
     let mut reply = Reply {
         connection: Some(connection),
         head,
-        prefix: prefix::Prefix::default(),
+        prefix: prefix::Prefix::new(&common.bodies),
         rest,
         ended: false,
     };
     reply.head.headers.remove(relay::HEADER);
     reply.head.headers.remove(names::CONNECTION);
-    buffering::buffer_body(&mut reply, call, common.link_pace).await?;
+    buffering::buffer_body(&mut reply, call, common).await?;
     Ok(reply)
 }
 
--- a/crates/proxy/src/memory.rs
+++ b/crates/proxy/src/memory.rs
@@ -2,7 +2,9 @@
 //!
 //! A body is reserved when it is accepted. When the bound is reached, requests with a new body are
 //! refused as not run; those with a small one, or none, still pass. Responses are always accepted, as
-//! their requests have run, and count towards the bound until their callers have read them.
+//! their requests have run. What is held back of them counts towards the bound until their callers have
+//! read it, and may take a part of it only, so that servers that send without end do not take the
+//! place of requests: beyond that part, responses are streamed.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -18,6 +20,9 @@
 /// Bytes that are held of a streamed body at a time.
 pub const STREAM_BYTES: u64 = 128 << 10;
 
+/// Share of the bound up to which responses are held back.
+const RESPONSE_SHARE: f64 = 0.5;
+
 /// Retry delay of a request that was refused for lack of memory.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
 
@@ -72,6 +77,11 @@
         Ok(reservation)
     }
 
+    /// Whether more of a response may be held back.
+    pub fn has_room_for_responses(&self) -> bool {
+        (self.held_bytes() as f64) < self.max_bytes as f64 * RESPONSE_SHARE
+    }
+
     /// Counts bytes that cannot be refused.
     pub fn hold(self: &Arc<Self>, bytes: u64) -> Reservation {
         self.held_bytes.add(gauge_value(bytes));
@@ -83,6 +93,19 @@
 }
 
 impl Reservation {
+    /// Counts further bytes that cannot be refused.
+    pub fn grow(&mut self, bytes: u64) {
+        self.bound.held_bytes.add(gauge_value(bytes));
+        self.bytes += bytes;
+    }
+
+    /// Releases some of the bytes.
+    pub fn shrink(&mut self, bytes: u64) {
+        let bytes = bytes.min(self.bytes);
+        self.bound.held_bytes.sub(gauge_value(bytes));
+        self.bytes -= bytes;
+    }
+
     /// Reserves bytes in addition.
     ///
     /// # Errors
--- a/crates/proxy/src/pass.rs
+++ b/crates/proxy/src/pass.rs
@@ -304,7 +304,6 @@
         } = forwardable;
         let status = reply.head.status;
         let held_bytes = reply.prefix.byte_count();
-        self.account.hold(self.common.bodies.hold(held_bytes));
         if reply.is_fully_buffered()
             && let Some(attempt) = attempt.take()
         {
--- a/crates/proxy/src/prefix.rs
+++ b/crates/proxy/src/prefix.rs
@@ -4,9 +4,12 @@
 //! than its bytes.
 
 use std::collections::VecDeque;
+use std::sync::Arc;
 
 use bytes::{Bytes, BytesMut};
 
+use crate::memory;
+
 /// Size from which a piece is held as it is.
 const LARGE_PIECE_BYTES: usize = 4 << 10;
 
@@ -14,18 +17,30 @@
 const CLOSED_BYTES: usize = 16 << 10;
 
 /// Beginning of a body.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Prefix {
     pieces: VecDeque<Bytes>,
     /// Small pieces after `pieces`.
     tail: BytesMut,
     byte_count: u64,
+    reservation: memory::Reservation,
 }
 
 impl Prefix {
+    /// Creates an empty one, whose bytes count towards a bound.
+    pub fn new(bound: &Arc<memory::Bound>) -> Self {
+        Self {
+            pieces: VecDeque::new(),
+            tail: BytesMut::new(),
+            byte_count: 0,
+            reservation: bound.hold(0),
+        }
+    }
+
     /// Adds bytes at the end.
     pub fn push(&mut self, bytes: Bytes) {
         self.byte_count += bytes.len() as u64;
+        self.reservation.grow(bytes.len() as u64);
         let is_first = self.pieces.is_empty() && self.tail.is_empty();
         if is_first || bytes.len() >= LARGE_PIECE_BYTES {
             self.close_tail();
@@ -45,6 +60,7 @@
         }
         let bytes = self.pieces.pop_front()?;
         self.byte_count -= bytes.len() as u64;
+        self.reservation.shrink(bytes.len() as u64);
         Some(bytes)
     }
 
--- a/crates/proxy/tests/all/host.rs
+++ b/crates/proxy/tests/all/host.rs
@@ -72,12 +72,8 @@
     timeout: Duration,
     max_body_bytes: u64,
 ) -> Proxy {
-    let config = config::Config::new("entry-1".parse().unwrap(), "attica-a".parse().unwrap());
-    let config = config.host_routing(Some(header_names()));
-    let config = config.policies(Arc::new(fakes::Selector));
-    let config = config.max_body_bytes(Some(max_body_bytes));
-    let snapshot = snapshot(addresses, timeout, access::Access::Open);
-    fixture::start_engine(fixture::bind_listener().await, config, snapshot)
+    let config = config(Arc::new(fakes::Selector)).max_body_bytes(Some(max_body_bytes));
+    start_configured(addresses, timeout, config).await
 }
 
 /// As [`start`], for a VM with a link of this rate, in bytes per second.
@@ -86,12 +82,8 @@
     timeout: Duration,
     link_rate: rate::Rate,
 ) -> Proxy {
-    let config = config::Config::new("entry-1".parse().unwrap(), "attica-a".parse().unwrap());
-    let config = config.host_routing(Some(header_names()));
-    let config = config.policies(Arc::new(fakes::Selector));
-    let config = config.link_rate(Some(link_rate));
-    let snapshot = snapshot(addresses, timeout, access::Access::Open);
-    fixture::start_engine(fixture::bind_listener().await, config, snapshot)
+    let config = config(Arc::new(fakes::Selector)).link_rate(Some(link_rate));
+    start_configured(addresses, timeout, config).await
 }
 
 /// As [`start`], with these limits of the listener for callers.
@@ -100,9 +92,22 @@
     timeout: Duration,
     limits: settings::Limits,
 ) -> Proxy {
+    let config = config(Arc::new(fakes::Naive)).limits(limits);
+    start_configured(addresses, timeout, config).await
+}
+
+/// Configuration of an engine with host routing.
+pub fn config(policies: Arc<dyn interface::Policies>) -> config::Config {
     let config = config::Config::new("entry-1".parse().unwrap(), "attica-a".parse().unwrap());
-    let config = config.host_routing(Some(header_names())).limits(limits);
-    let config = config.policies(Arc::new(fakes::Naive));
+    config.host_routing(Some(header_names())).policies(policies)
+}
+
+/// As [`start`], with this configuration of the engine.
+pub async fn start_configured(
+    addresses: &[net::SocketAddr],
+    timeout: Duration,
+    config: config::Config,
+) -> Proxy {
     let snapshot = snapshot(addresses, timeout, access::Access::Open);
     fixture::start_engine(fixture::bind_listener().await, config, snapshot)
 }
@@ -113,9 +118,7 @@
     policies: Arc<dyn interface::Policies>,
     access: access::Access,
 ) -> Proxy {
-    let config = config::Config::new("entry-1".parse().unwrap(), "attica-a".parse().unwrap());
-    let config = config.host_routing(Some(header_names()));
-    let config = config.policies(policies);
+    let config = config(policies);
     fixture::start_engine(
         fixture::bind_listener().await,
         config,
