--- a/crates/policy/src/selector.rs
+++ b/crates/policy/src/selector.rs
@@ -191,9 +191,8 @@
                 self.poison.quarantine(fingerprint, expires_at);
             }
             event::Event::Tick => self.tick(now, actions),
-            event::Event::ResponseHead { .. }
-            | event::Event::Probe { .. }
-            | event::Event::Ejection { .. } => {}
+            event::Event::ResponseHead { attempt, .. } => self.relays.record_head(now, attempt),
+            event::Event::Probe { .. } | event::Event::Ejection { .. } => {}
         }
     }
 
--- a/crates/policy/src/selector/path_loss.rs
+++ b/crates/policy/src/selector/path_loss.rs
@@ -110,6 +110,7 @@
             peer,
             max_attempts,
             sent_at: now,
+            responded: false,
             cancelled: false,
         };
         self.relays.record_sent(attempt, relayed);
@@ -140,7 +141,11 @@
             outcome::Outcome::Unsent
             | outcome::Outcome::Broken
             | outcome::Outcome::Timeout
-            | outcome::Outcome::Garbled => self.relays.record_failure(now, relayed.peer),
+            | outcome::Outcome::Garbled
+                if !relayed.responded =>
+            {
+                self.relays.record_failure(now, relayed.peer);
+            }
             _ => {}
         }
         if relayed.cancelled {
--- a/crates/policy/src/selector/relay.rs
+++ b/crates/policy/src/selector/relay.rs
@@ -37,6 +37,8 @@
     pub max_attempts: u32,
     /// When the attempt was sent.
     pub sent_at: time::Time,
+    /// Whether a server responded through the relay.
+    pub responded: bool,
     /// Whether the attempt was cancelled because its request is already completed or refused.
     pub cancelled: bool,
 }
@@ -151,6 +153,16 @@
         Some(attempt)
     }
 
+    /// Records that a server responded to an attempt through its relay, which shows that the relay has
+    /// a path.
+    pub fn record_head(&mut self, now: time::Time, id: handle::Attempt) {
+        if let Some(attempt) = self.attempts.get_mut(&id) {
+            attempt.responded = true;
+            let peer = attempt.peer;
+            self.record_proof(now, peer);
+        }
+    }
+
     /// Records a success that shows that a daemon has a path to the servers.
     pub fn record_proof(&mut self, now: time::Time, peer: instance::Instance) {
         if let Some(relay) = self.relay_mut(peer) {
--- a/crates/policy/tests/selector/path_loss.rs
+++ b/crates/policy/tests/selector/path_loss.rs
@@ -1,5 +1,7 @@
 //! Requests at a daemon that has lost its path to all servers.
 
+use std::collections::BTreeSet;
+
 use monsooncart_policy::service::Policy as _;
 use monsooncart_policy::{action, event, handle, outcome};
 
@@ -131,6 +133,36 @@
     assert!(actions.contains(&action::Action::Cancel(first.0)));
 }
 
+/// Guards against callers that are refused at a daemon without a path, since a server that responded
+/// through the only relay did not end its response.
+#[test]
+fn a_relay_through_which_a_server_responded_is_not_to_blame_for_the_rest_of_the_response() {
+    for end in [
+        outcome::Outcome::Broken,
+        outcome::Outcome::Timeout,
+        outcome::Outcome::Garbled,
+    ] {
+        let mut harness = harness(3);
+        lose_path(&mut harness);
+        harness.advance(2000 * MS);
+        let in_flight = RELAYS.map(|_| relayed_attempts(&harness.arrive(false))[0]);
+        let relays: BTreeSet<_> = in_flight.iter().map(|attempt| attempt.1).collect();
+        for (attempt, ..) in in_flight {
+            let status = 200;
+            harness.handle(event::Event::ResponseHead { attempt, status });
+        }
+        for (attempt, ..) in in_flight {
+            harness.finish(attempt, end);
+        }
+
+        let actions = harness.arrive(false);
+
+        assert_eq!(relays.len(), RELAYS.len());
+        assert_eq!(relayed_attempts(&actions).len(), 1, "{end:?}");
+        assert_eq!(refusals(&actions), []);
+    }
+}
+
 /// Guards against a loop of relays.
 #[test]
 fn a_relayed_request_is_never_relayed_again() {
--- a/crates/proxy/src/exchange/relayed.rs
+++ b/crates/proxy/src/exchange/relayed.rs
@@ -10,7 +10,7 @@
 use tokio::time::{Instant, timeout_at};
 
 use super::{Call, Failure, Reply, buffering, closes_connection, matches_attempt, send};
-use crate::{common, header, link, prefix, relay};
+use crate::{attempt, common, header, link, prefix, relay};
 
 /// Has `peer` send a request to at most `max_attempts` servers, and waits for the response.
 ///
@@ -23,17 +23,18 @@
     call: &Call,
     peer: &Arc<relay::Peer>,
     max_attempts: u32,
+    attempt: &attempt::Attempt,
 ) -> Result<Reply, Failure> {
     let now = common.clock.now();
     if let Some(connection) = peer.pool.take(now, common.pool.idle_timeout) {
-        match exchange_on(common, call, peer, max_attempts, connection).await {
+        match exchange_on(common, call, peer, max_attempts, attempt, connection).await {
             // The relay closed the pooled connection before anything was sent: retry on a new one.
             Err(failure) if failure.outcome == outcome::Outcome::Unsent && call.revoke_body() => {}
             result => return result,
         }
     }
     let connection = connect(common, call, peer).await?;
-    exchange_on(common, call, peer, max_attempts, connection).await
+    exchange_on(common, call, peer, max_attempts, attempt, connection).await
 }
 
 async fn connect(
@@ -62,6 +63,7 @@
     call: &Call,
     peer: &relay::Peer,
     max_attempts: u32,
+    attempt: &attempt::Attempt,
     mut connection: link::Connection,
 ) -> Result<Reply, Failure> {
     let mut request = call.build_request(common.host_headers.as_ref(), None);
@@ -73,7 +75,9 @@
     let responder = head.headers.get(relay::HEADER);
     let responder = responder.and_then(|value| value.to_str().ok()?.parse().ok());
     match responder {
-        Some(relay::Responder::Server) if matches_attempt(common, &head, &call.correlation_id) => {}
+        Some(relay::Responder::Server) if matches_attempt(common, &head, &call.correlation_id) => {
+            attempt.report_head(head.status.as_u16());
+        }
         Some(relay::Responder::Relay) => {
             if header::is_not_run(&head.headers) {
                 tracker.refused = true;
--- a/crates/proxy/src/pass/relayed.rs
+++ b/crates/proxy/src/pass/relayed.rs
@@ -24,7 +24,9 @@
         let reporter = attempt::Attempt::relayed(service.clone(), id);
         let repeatable = self.repeatable;
         Box::pin(async move {
-            let result = match exchange::relayed::run(&common, &call, &peer, max_attempts).await {
+            let result =
+                exchange::relayed::run(&common, &call, &peer, max_attempts, &reporter).await;
+            let result = match result {
                 Ok(reply) => {
                     report_relayed_leaving(&common, &service, &reply.head.headers);
                     if repeatable && is_retryable_error(&reply) {
