Tests of health checks without end, and of callers that send slowly

- policy_actions::probes_of_servers_that_send_without_end_fail_and_close_the_connection: seven forms of a health response without end.

Both pass on the code as it is; neither was seen failing.

--- a/crates/proxy/tests/all/policy_actions.rs
+++ b/crates/proxy/tests/all/policy_actions.rs
@@ -1,11 +1,12 @@
 //! The request path carries out a policy's actions and reports every event to it exactly once.
 
+use std::net;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use monsooncart_policy::{action, event, handle, outcome, service};
 use monsooncart_proxy::{interface, report};
-use monsooncart_testbed::backend::{mode, server};
+use monsooncart_testbed::backend::mode;
 use monsooncart_types::{id, time};
 
 use crate::fixture;
@@ -82,7 +83,7 @@
 }
 
 async fn start_proxy(
-    addresses: &[std::net::SocketAddr],
+    addresses: &[net::SocketAddr],
     policies: &Arc<ScriptedPolicies>,
 ) -> fixture::Proxy {
     fixture::start_proxy_with(addresses, fixture::limits(), policies.clone()).await
@@ -211,9 +212,9 @@
     }
 }
 
-async fn request_probe(server: &server::Server) -> (Arc<ScriptedPolicies>, fixture::Proxy) {
+async fn request_probe(address: net::SocketAddr) -> (Arc<ScriptedPolicies>, fixture::Proxy) {
     let policies = ScriptedPolicies::new(|event, _| probe_on_ejection(event));
-    let proxy = start_proxy(&[server.address()], &policies).await;
+    let proxy = start_proxy(&[address], &policies).await;
     let (service, name) = ("wiredesk".parse().unwrap(), "server-0".parse().unwrap());
     let granted = report::Report::Ejection {
         server: name,
@@ -234,7 +235,7 @@
             ..mode::Mode::default()
         });
 
-        let (policies, _proxy) = request_probe(&backend).await;
+        let (policies, _proxy) = request_probe(backend.address()).await;
 
         fixture::wait_until("probe", || {
             policies.has(&event::Event::Probe { server, healthy })
@@ -243,6 +244,54 @@
     }
 }
 
+/// Guards against health checks whose responses without end fill the memory or never end (LOST).
+#[tokio::test]
+async fn probes_of_servers_that_send_without_end_fail_and_close_the_connection() {
+    const MAX_WRITTEN_BYTES: u64 = 16 << 20;
+    let head = "HTTP/1.1 200 OK\r\n";
+    for (begin, rest) in [
+        (head.to_owned(), "x-a: b\r\n"),
+        (String::new(), "HTTP/1.1 103 Early Hints\r\n\r\n"),
+        (format!("{head}\r\n"), "aaaaaaaaaaaaaaaa"),
+        (
+            format!("{head}content-length: 1099511627776\r\n\r\n"),
+            "aaaaaaaaaaaaaaaa",
+        ),
+        (
+            format!("{head}transfer-encoding: chunked\r\n\r\n"),
+            "4\r\naaaa\r\n",
+        ),
+        (
+            format!("{head}transfer-encoding: chunked\r\n\r\n4;"),
+            "aaaaaaaaaaaaaaaa",
+        ),
+        (
+            format!("{head}transfer-encoding: chunked\r\n\r\n0\r\n"),
+            "x-a: b\r\n",
+        ),
+    ] {
+        let script = vec![
+            Step::ReadHead,
+            Step::Write(begin.clone().into_bytes()),
+            Step::WriteEndlessly(rest.as_bytes().repeat(64)),
+        ];
+        let server = ScriptedServer::start(script).await;
+
+        let (policies, _proxy) = request_probe(server.address).await;
+
+        let failed = event::Event::Probe {
+            server: handle::Server(0),
+            healthy: false,
+        };
+        fixture::wait_until("probe", || policies.has(&failed)).await;
+        fixture::wait_until("close", || server.closed() == 1).await;
+        // Interim responses are read and dropped until the timeout of the probe.
+        if !begin.is_empty() {
+            assert!(server.written_bytes() < MAX_WRITTEN_BYTES, "{begin:?}");
+        }
+    }
+}
+
 #[tokio::test]
 async fn health_response_can_report_that_the_server_is_leaving() {
     let backend = fixture::start_backend("server-0").await;
@@ -251,7 +300,7 @@
         ..mode::Mode::default()
     });
 
-    let (policies, proxy) = request_probe(&backend).await;
+    let (policies, proxy) = request_probe(backend.address()).await;
 
     let leaving = event::Event::Leaving(handle::Server(0));
     fixture::wait_until("leaving report", || policies.has(&leaving)).await;
--- a/crates/proxy/tests/all/slow_callers.rs
+++ b/crates/proxy/tests/all/slow_callers.rs
@@ -151,3 +151,48 @@
     assert_eq!(next.unwrap().status(), 200);
     assert!(unread.into_body().collect().await.is_err());
 }
+
+/// Guards against callers that send their request slowly and get no response by the timeout of its
+/// route, whether the body is received before it is sent on or streamed (CONFIG).
+#[tokio::test]
+async fn uploads_that_their_callers_send_slowly_get_a_response_at_the_timeout() {
+    let script = vec![Step::ReadHead, Step::ReadEnd];
+    let server = ScriptedServer::start(script).await;
+    let proxy = host::start(&[server.address], TIMEOUT).await;
+    for framing in [
+        "content-length: 1000",
+        "content-length: 1000000",
+        "transfer-encoding: chunked",
+    ] {
+        for (method, path) in [("POST", "/orders/1"), ("PUT", "/items/1")] {
+            let stream = TcpStream::connect(proxy.address).await.unwrap();
+            let (mut reader, mut writer) = stream.into_split();
+            let head = format!(
+                "{method} {path} HTTP/1.1\r\nhost: wires.example\r\nx-request: 1\r\n{framing}\r\n\r\n"
+            );
+            writer.write_all(head.as_bytes()).await.unwrap();
+            let sending = tokio::spawn(async move {
+                let piece = if framing.contains("chunked") {
+                    "1\r\na\r\n"
+                } else {
+                    "a"
+                };
+                while writer.write_all(piece.as_bytes()).await.is_ok() {
+                    tokio::time::sleep(TIMEOUT / 20).await;
+                }
+            });
+
+            let mut status_line = [0; 12];
+            let reading = reader.read_exact(&mut status_line);
+            let read = tokio::time::timeout(fixture::TEST_TIMEOUT / 3, reading).await;
+
+            read.expect("the response comes").unwrap();
+            let status = String::from_utf8_lossy(&status_line[9..]).into_owned();
+            assert!(
+                ["408", "502", "504"].contains(&status.as_str()),
+                "{method} {framing}: {status}"
+            );
+            sending.abort();
+        }
+    }
+}
