--- a/crates/cluster/tests/engine/regions.rs
+++ b/crates/cluster/tests/engine/regions.rs
@@ -61,6 +61,38 @@
     }
 }
 
+/// Guards against a crashed daemon that stays a member, since another VM's daemon responds at its
+/// address.
+#[tokio::test]
+async fn a_crashed_daemon_whose_address_is_in_use_again_is_removed() {
+    let first = fixture::start("vm-0", Vec::new()).await;
+    let seeds = vec![first.engine.local().peers];
+    let recorder = fixture::recorder();
+    let config = fixture::settings("vm-1", &recorder).seeds(seeds.clone());
+    let crashed = fixture::Process::start(config, recorder).await;
+    let joined = || first.engine.members().len() == 2;
+    fixture::eventually("joined", joined).await;
+    let local = crashed.daemon.engine.local().clone();
+
+    crashed.crash();
+    let recorder = fixture::recorder();
+    let next = loop {
+        // The sockets of the crashed daemon are closed in the background.
+        let config = fixture::settings_at("vm-2", local.peers, &recorder);
+        match config.seeds(seeds.clone()).start().await {
+            Ok(engine) => break engine,
+            Err(_) => tokio::time::sleep(Duration::from_millis(5)).await,
+        }
+    };
+
+    let removed = || {
+        let members = first.engine.members();
+        let has = |instance| members.iter().any(|m| m.instance == instance);
+        has(next.local().instance) && !has(local.instance)
+    };
+    fixture::eventually("removed", removed).await;
+}
+
 /// Starts a daemon in a region, with its own link to the platform.
 async fn start_in(region: &str, name: &str, seeds: &[Daemon], platform: &Platform) -> Daemon {
     let recorder = fixture::recorder();
--- a/crates/proxy/src/caller.rs
+++ b/crates/proxy/src/caller.rs
@@ -36,6 +36,7 @@
     replacement: Option<Replacement>,
     linger: Option<Pin<Box<Sleep>>>,
     awaiting_first_byte: bool,
+    /// Makes the stream drop unsent bytes when it is closed.
     discard_unsent: fn(&S),
 }
 
