--- a/crates/proxy/src/pace.rs
+++ b/crates/proxy/src/pace.rs
@@ -2,8 +2,8 @@
 //!
 //! A server in trouble may state a length that it never reaches. Such a response is given up before
 //! the caller receives a byte of it, which leaves the rest of the time to another server or to a
-//! final response. A body that can end in time is never given up: its pace is taken to be that of
-//! its fastest part, and to rise by [`MAX_SPEEDUP`].
+//! final response. The estimate errs towards waiting: the pace is taken to be that of the fastest
+//! part, and to rise by [`MAX_SPEEDUP`].
 
 use std::time::Duration;
 
