Review case 10: a stop with a grace period of 10 s breaks off late requests

Seen: with grace_s 10, requests that are sent 4.25 to 4.75 s after a SIGTERM are passed on, and answered 502 at 9.0 s while their servers are at work, although these have their answers within the grace period.

At fault: policy::stop::Schedule accepts any request for half of the grace period and gives up after nine tenths of it. The rule excuses requests that were sent in the first 3 s, half of a grace period of 6 s only; crates/policy/tests/stop.rs assumes half as well.

--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -5,4 +5,4 @@
 for program in target/release/monsooncart target/review-2/release/drill; do
     test -x "$program" || { echo "$program is missing" >&2; exit 2; }
 done
-exec target/review-2/release/drill expiry review/10
+exec target/review-2/release/drill stop review/10
--- a/review/drill/src/fleet.rs
+++ b/review/drill/src/fleet.rs
@@ -181,6 +181,19 @@
         )
     }
 
+    /// Sends SIGTERM to all daemons.
+    pub fn terminate_daemons(&self) -> io::Result<()> {
+        let pids = self
+            .daemons
+            .iter()
+            .map(|daemon| daemon.child.id().to_string());
+        Command::new("kill")
+            .arg("-TERM")
+            .args(pids)
+            .status()
+            .map(drop)
+    }
+
     /// Starts a server of a service with a new id and address.
     pub fn start_server(&mut self, service: &str) -> io::Result<String> {
         self.next_server += 1;
--- a/review/drill/src/main.rs
+++ b/review/drill/src/main.rs
@@ -7,6 +7,7 @@
 mod poison;
 mod record;
 mod server;
+mod stop;
 mod store;
 mod verdict;
 
@@ -90,6 +91,7 @@
         }
         .run(&record, trouble),
         "leave" => leaving::run(&record, trouble),
+        "stop" => stop::run(&record, trouble),
         _ => {
             eprintln!("no drill {drill}");
             return ExitCode::from(2);
