--- a/review/drill/src/main.rs
+++ b/review/drill/src/main.rs
@@ -57,7 +57,7 @@
             services: vec![("huvo11a", 100, 6)],
             slots: 6,
             work: Duration::from_millis(440),
-            others_per_s: 70.0,
+            others_per_s: 76.0,
             interval: Duration::from_secs(1),
             body_bytes: 300,
             losses: 0,
