--- a/crates/cluster/src/engine.rs
+++ b/crates/cluster/src/engine.rs
@@ -123,7 +123,7 @@
             source: config.source,
             handler: config.handler,
             replica: Arc::default(),
-            freshness: spread::freshness::Freshness::default(),
+            freshness: spread::freshness::Freshness::new(config.timings.expiry_time),
             upload_pacer: Mutex::new(pacer::Pacer::new(config.upload_bytes_per_second)),
             seeds: config.seeds,
             timings: config.timings,
--- a/crates/cluster/src/spread.rs
+++ b/crates/cluster/src/spread.rs
@@ -13,7 +13,9 @@
 mod compare;
 mod fetch;
 mod outage;
+mod removals;
 pub(crate) mod serve;
+mod silence;
 pub(crate) mod staging;
 mod watch;
 
--- a/crates/cluster/src/spread/freshness.rs
+++ b/crates/cluster/src/spread/freshness.rs
@@ -1,7 +1,8 @@
 //! Time since a watcher of the region last received an answer from the platform.
 //!
 //! Reconciliation calls carry this age, so that every daemon knows whether the watchers reach the
-//! platform; if they do not, more daemons watch.
+//! platform; if they do not, more daemons watch. Every answer that becomes known also counts for the
+//! platform's silence.
 
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
@@ -9,13 +10,16 @@
 use monsooncart_policy::membership::member;
 use monsooncart_types::{instance, map};
 
+use super::silence;
+
 /// The latest known answer of the platform, and the watchers that have lost their connection.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Freshness {
     last_answer_at: Mutex<Option<Instant>>,
     disconnected: Mutex<map::Set<instance::Instance>>,
     /// Latest epoch of the platform's store; `None` before the first answer.
     epoch: Mutex<Option<u64>>,
+    silence: Mutex<silence::Silence>,
 }
 
 /// How the epoch of an answer compares with the latest one.
@@ -30,6 +34,18 @@
 }
 
 impl Freshness {
+    /// Creates the state of a daemon that knows of no answer. Objects expire in a silence of
+    /// `expiry_time`.
+    #[must_use]
+    pub fn new(expiry_time: Duration) -> Self {
+        Self {
+            last_answer_at: Mutex::default(),
+            disconnected: Mutex::default(),
+            epoch: Mutex::default(),
+            silence: Mutex::new(silence::Silence::new(expiry_time, Instant::now())),
+        }
+    }
+
     /// Time since the latest known answer; `None` if no answer is known since a watcher was last
     /// reported disconnected.
     #[must_use]
@@ -101,11 +117,33 @@
             return;
         };
         let age = Duration::from_millis(u64::from(millis));
-        let answered_at = Instant::now().checked_sub(age);
+        let Some(answered_at) = Instant::now().checked_sub(age) else {
+            return;
+        };
+        self.lock_silence().record_answer(answered_at);
         let mut last_answer_at = self
             .last_answer_at
             .lock()
             .unwrap_or_else(PoisonError::into_inner);
-        *last_answer_at = answered_at.max(*last_answer_at);
+        *last_answer_at = Some(answered_at).max(*last_answer_at);
+    }
+
+    /// Records that the platform answered this daemon with a part of a listing.
+    pub fn record_page(&self) {
+        self.lock_silence().record_answer(Instant::now());
+    }
+
+    /// Time of the latest answer of the platform to a daemon of the region, or of this daemon's start.
+    pub fn answered_at(&self) -> Instant {
+        self.lock_silence().answered_at()
+    }
+
+    /// End of the latest silence of the platform in which objects may have expired.
+    pub fn silence_ended_at(&self) -> Option<Instant> {
+        self.lock_silence().ended_at()
+    }
+
+    fn lock_silence(&self) -> MutexGuard<'_, silence::Silence> {
+        self.silence.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
--- a/crates/cluster/src/spread/watch.rs
+++ b/crates/cluster/src/spread/watch.rs
@@ -10,7 +10,7 @@
 use monsooncart_wire::{frame, update};
 use rand::RngExt;
 
-use super::{freshness, held, outage};
+use super::{freshness, held, outage, removals};
 use crate::shared;
 
 /// Key by which the watchers of a region are ranked.
@@ -72,12 +72,6 @@
     time_until_selected(shared).is_zero()
 }
 
-/// A removal that takes effect only if the object does not reappear before `due_at`.
-struct DeferredRemoval {
-    due_at: Instant,
-    object: held::Object,
-}
-
 /// Watches the objects under one prefix while this daemon is selected.
 pub(crate) struct Watch {
     shared: Arc<shared::Shared>,
@@ -85,10 +79,10 @@
     prefix: &'static str,
     /// Consecutive failed calls.
     failures: u32,
-    outage: outage::Monitor,
-    /// Time of the first answer after the latest outage.
-    reconnected_at: Option<Instant>,
-    deferred_removals: Vec<DeferredRemoval>,
+    monitor: outage::Monitor,
+    /// The latest outage that this watch noticed.
+    outage: Option<removals::Outage>,
+    removals: removals::Removals,
     /// Epoch of the latest answer to this watch.
     epoch: Option<u64>,
 }
@@ -99,15 +93,16 @@
         store: Arc<dyn store::Store>,
         prefix: &'static str,
     ) -> Self {
-        let outage = outage::Monitor::new(shared.timings.expiry_time, Instant::now());
+        let monitor = outage::Monitor::new(shared.timings.expiry_time);
+        let removals = removals::Removals::new(shared.timings.removal_delay);
         Self {
             shared,
             store,
             prefix,
             failures: 0,
-            outage,
-            reconnected_at: None,
-            deferred_removals: Vec::new(),
+            monitor,
+            outage: None,
+            removals,
             epoch: None,
         }
     }
@@ -190,12 +185,7 @@
 
     /// Maximum wait of the next watch, shortened if a deferred removal is due earlier.
     fn next_max_wait(&self) -> Duration {
-        let due_at = self
-            .deferred_removals
-            .iter()
-            .map(|removal| removal.due_at)
-            .min();
-        let wait = due_at.map(|due_at| {
+        let wait = self.removals.next_due_at().map(|due_at| {
             due_at
                 .saturating_duration_since(Instant::now())
                 .max(MIN_WATCH_WAIT)
@@ -208,9 +198,10 @@
     /// daemons watch. Every failure is reported, as a datagram may be lost.
     fn record_failure(&mut self, error: &error::Error) {
         self.failures += 1;
+        let (now, answered_at) = (Instant::now(), self.shared.freshness.answered_at());
         match is_watch(error) {
-            true => self.outage.record_failed_watch(),
-            false => self.outage.record_failure(Instant::now()),
+            true => self.monitor.record_failed_watch(now, answered_at),
+            false => self.monitor.record_failure(now, answered_at),
         }
         self.report_platform(false);
     }
@@ -228,15 +219,33 @@
         self.report_platform(true);
         self.failures = 0;
         let now = Instant::now();
-        if let Some(disturbance) = self.outage.record_answer(now) {
-            let disturbed_millis = disturbance.as_millis() as u64;
-            log::info!(prefix = self.prefix, disturbed_millis; "config: platform answers again");
-            if self.outage.is_outage(disturbance) {
-                self.reconnected_at = Some(now);
+        if let Some(recovery) = self.monitor.record_answer(now) {
+            let failed_millis = recovery.failed_for.as_millis() as u64;
+            log::info!(prefix = self.prefix, failed_millis, ends_outages = recovery.ends_outages; "config: platform answers again");
+            let is_restored = self.latest_outage().is_some_and(|outage| outage.restored);
+            if recovery.ends_outages && !is_restored {
+                self.record_outage(now, false);
             }
         }
     }
 
+    fn record_outage(&mut self, ended_at: Instant, restored: bool) {
+        self.outage = Some(removals::Outage { ended_at, restored });
+    }
+
+    /// The latest outage of the platform. A restoration outweighs a later silence.
+    fn latest_outage(&self) -> Option<removals::Outage> {
+        let silence_ended_at = self.shared.freshness.silence_ended_at();
+        let silence = silence_ended_at.map(|ended_at| removals::Outage {
+            ended_at,
+            restored: false,
+        });
+        let is_recent =
+            |o: &removals::Outage| o.ended_at.elapsed() < self.shared.timings.removal_delay;
+        let outages = self.outage.into_iter().chain(silence).filter(is_recent);
+        outages.max_by_key(|outage| (outage.restored, outage.ended_at))
+    }
+
     /// Compares the epoch of an answer with those of earlier answers. In a later epoch, objects may be
     /// missing until their writers have written them again, so their removal is deferred.
     ///
@@ -262,7 +271,7 @@
             .is_some_and(|known| known != epoch)
         {
             log::warn!(prefix = self.prefix, epoch, revision = revision.revision(); "config: platform was restored from a backup; listing again");
-            self.reconnected_at = Some(Instant::now());
+            self.record_outage(Instant::now(), true);
         }
         Ok(())
     }
@@ -277,6 +286,7 @@
             let page = self.store.list(self.prefix, &after);
             let timeout = self.shared.timings.list_timeout;
             let page = with_timeout(timeout, error::Operation::List, page).await?;
+            self.shared.freshness.record_page();
             self.check_epoch(error::Operation::List, page.revision)?;
             let first_revision = *revision.get_or_insert(page.revision);
             if page.revision.epoch() != first_revision.epoch() {
@@ -320,27 +330,22 @@
     /// Stores objects from the platform and announces the newer ones. Removals soon after an outage
     /// are deferred: objects that expired while the platform was unavailable may reappear.
     fn apply(&mut self, objects: &[object::Object]) {
-        let delay = self.shared.timings.removal_delay;
-        let removal_due_at = self.reconnected_at.map(|at| at + delay);
-        let removal_due_at = removal_due_at.filter(|due_at| *due_at > Instant::now());
-        let mut decoded = Vec::new();
+        let mut written = Vec::new();
+        let mut removals = Vec::new();
         for object in objects {
             let Some(new) = self.shared.source.decode(object) else {
                 continue;
             };
             self.log_older_routing(&new);
-            match removal_due_at {
-                Some(due_at) if object.value.is_none() => {
-                    log::info!(object:% = new.key, version = new.version; "config: object is missing after an outage; deferring its removal");
-                    self.deferred_removals.push(DeferredRemoval {
-                        due_at,
-                        object: new,
-                    });
-                }
-                _ => decoded.push(new),
+            match object.value {
+                Some(_) => written.push(new),
+                None => removals.push(new),
             }
         }
-        self.merge_and_announce(decoded);
+        let snapshot = self.shared.replica.snapshot();
+        let (now, outage) = (Instant::now(), self.latest_outage());
+        written.extend(self.removals.defer(now, outage, &snapshot, removals));
+        self.merge_and_announce(written);
     }
 
     /// Logs that the platform has an older routing than this daemon, which keeps its own.
@@ -352,14 +357,9 @@
         }
     }
 
-    /// Applies the deferred removals that are due. They have no effect on objects that reappeared,
-    /// as these have newer versions.
+    /// Applies the deferred removals that are due.
     fn apply_deferred_removals(&mut self) {
-        let now = Instant::now();
-        let due_removals = self
-            .deferred_removals
-            .extract_if(.., |removal| removal.due_at <= now);
-        let objects: Vec<_> = due_removals.map(|removal| removal.object).collect();
+        let objects = self.removals.take_due(Instant::now());
         if !objects.is_empty() {
             self.merge_and_announce(objects);
         }
--- a/crates/cluster/tests/engine/main.rs
+++ b/crates/cluster/tests/engine/main.rs
@@ -9,6 +9,7 @@
 mod keys;
 mod lifecycle;
 mod panics;
+mod partitions;
 mod platform;
 mod regions;
 mod removal;
--- a/crates/config/src/snapshot.rs
+++ b/crates/config/src/snapshot.rs
@@ -7,7 +7,7 @@
 
 use monsooncart_types::{id, map};
 
-use crate::{object, organisation, routing, service, zone};
+use crate::{object, organisation, registration, routing, service, zone};
 
 mod block;
 mod index;
@@ -112,6 +112,20 @@
         self.routing.access.organisations().get(index)
     }
 
+    /// The registration of a server.
+    #[must_use]
+    pub fn registration(&self, server: &id::Server) -> Option<&registration::Registration> {
+        self.registry.get(server).map(Arc::as_ref)
+    }
+
+    /// Registrations of the servers of a service.
+    pub fn registrations(
+        &self,
+        service: &id::Service,
+    ) -> impl Iterator<Item = &registration::Registration> {
+        self.registry.of_service(service).map(Arc::as_ref)
+    }
+
     /// Version of an object; `None` if it is not in the snapshot.
     #[must_use]
     pub fn version(&self, key: &object::Key) -> Option<u64> {
--- a/crates/config/src/snapshot/registry.rs
+++ b/crates/config/src/snapshot/registry.rs
@@ -24,6 +24,17 @@
         self.servers.get(server)
     }
 
+    /// The servers of a service.
+    pub(super) fn of_service(
+        &self,
+        service: &id::Service,
+    ) -> impl Iterator<Item = &Arc<registration::Registration>> {
+        self.services
+            .get(service)
+            .into_iter()
+            .flat_map(BTreeMap::values)
+    }
+
     /// Updates the registration of a server, or removes it; returns the affected services.
     pub(super) fn update(
         &mut self,
--- a/crates/testbed/src/local/outage.rs
+++ b/crates/testbed/src/local/outage.rs
@@ -17,6 +17,8 @@
     unavailable: watch::Sender<bool>,
     /// Number of times that pending watches were cut off.
     cuts: watch::Sender<u64>,
+    /// Delay of each page of a listing.
+    page_delay: watch::Sender<Duration>,
 }
 
 impl Outage {
@@ -27,6 +29,7 @@
             memory,
             unavailable: watch::Sender::new(false),
             cuts: watch::Sender::new(0),
+            page_delay: watch::Sender::new(Duration::ZERO),
         }
     }
 
@@ -40,6 +43,11 @@
         self.cuts.send_modify(|cuts| *cuts += 1);
     }
 
+    /// Delays each page of later listings.
+    pub fn set_page_delay(&self, delay: Duration) {
+        self.page_delay.send_replace(delay);
+    }
+
     /// The underlying store, which stays available during an outage.
     #[must_use]
     pub fn memory(&self) -> &Arc<memory::Memory> {
@@ -92,6 +100,8 @@
     fn list<'a>(&'a self, prefix: &'a str, after: &'a str) -> store::CallFuture<'a, object::Page> {
         Box::pin(async move {
             self.ensure_available(error::Operation::List)?;
+            let page_delay = *self.page_delay.borrow();
+            tokio::time::sleep(page_delay).await;
             self.memory.list(prefix, after).await
         })
     }
