No length is taken to be within reach of a link that no VM has (CONFIG)

A caller was sent 2xx and a body that broke off, where another server should have answered.

The pace of a body is that of its fastest 128 KiB. These may come from a socket buffer, which this machine reads at 7 GB/s or more, and 16 times that reaches 1 TiB within 10 s. The pace that is hoped for now ends at 400 Gbit/s. By reading of the failure and the figures; the pace itself was not logged.

--- a/crates/proxy/src/pace.rs
+++ b/crates/proxy/src/pace.rs
@@ -3,7 +3,8 @@
 //! A server in trouble may state a length that it never reaches. Such a response is given up before
 //! the caller receives a byte of it, which leaves the rest of the time to another server or to a
 //! final response. The estimate errs towards waiting: the pace is taken to be that of the fastest
-//! part, and to rise by [`MAX_SPEEDUP`].
+//! part, and to rise by [`MAX_SPEEDUP`], though to no more than [`MAX_RATE`]: the part may have waited in
+//! a buffer, from which it is read faster than any link carries it.
 
 use std::time::Duration;
 
@@ -13,6 +14,9 @@
 /// By how much the pace of a body may exceed what is known of it.
 const MAX_SPEEDUP: f64 = 16.0;
 
+/// Bytes per second of the fastest links of VMs, 400 Gbit/s.
+const MAX_RATE: f64 = 50e9;
+
 /// Bytes over which a pace is measured.
 const SAMPLE_BYTES: u64 = 128 << 10;
 
@@ -23,7 +27,8 @@
 impl Pace {
     /// Whether `bytes` can be transferred within `time`.
     pub fn can_transfer(self, bytes: u64, time: Duration) -> bool {
-        bytes as f64 <= self.0.0 * MAX_SPEEDUP * time.as_secs_f64()
+        let max_rate = (self.0.0 * MAX_SPEEDUP).min(MAX_RATE);
+        bytes as f64 <= max_rate * time.as_secs_f64()
     }
 }
 
