All watchers together remove at most a third of a service's servers at once after an outage

Each watch now compares with the largest number of servers since the outage.

Found by reading the diff. Test: all_watchers_together_remove_few_of_the_missing_servers, which failed before; the other tests of partitions and removal pass.

--- a/crates/cluster/src/spread/removals.rs
+++ b/crates/cluster/src/spread/removals.rs
@@ -38,8 +38,9 @@
     /// Time after an outage in which objects reappear.
     delay: Duration,
     deferred: Vec<Deferred>,
-    /// Servers that were removed at once within `delay`.
-    removed: Vec<(Instant, id::Service)>,
+    /// Largest number of servers of each service since the latest outage, without those that leave.
+    /// Other watchers remove servers as well.
+    largest: map::Map<id::Service, usize>,
 }
 
 /// The server that an object registers.
@@ -53,12 +54,18 @@
     }
 }
 
+/// Number of servers of a service that have not said that they leave.
+fn count_serving(snapshot: &snapshot::Snapshot, service: &id::Service) -> usize {
+    let servers = snapshot.registrations(service);
+    servers.filter(|server| !server.leaving).count()
+}
+
 impl Removals {
     pub fn new(delay: Duration) -> Self {
         Self {
             delay,
             deferred: Vec::new(),
-            removed: Vec::new(),
+            largest: map::Map::default(),
         }
     }
 
@@ -72,11 +79,11 @@
         removals: Vec<held::Object>,
     ) -> Vec<held::Object> {
         let Some(outage) = outage.filter(|outage| outage.ended_at + self.delay > now) else {
+            self.largest.clear();
             return removals;
         };
+        self.count_servers(snapshot);
         let mut immediate = Vec::new();
-        self.removed
-            .retain(|(at, _)| now.duration_since(*at) < self.delay);
         let mut missing = self.missing_servers(snapshot);
         for removal in &removals {
             if let Some(server) = registered(snapshot, &removal.key).filter(|s| !s.leaving) {
@@ -101,9 +108,8 @@
                 self.push(outage.ended_at + self.delay, removal);
                 continue;
             }
-            if let Some(server) = server.filter(|server| !server.leaving) {
+            if server.is_some_and(|server| !server.leaving) {
                 log::info!(object:% = removal.key, version = removal.version; "config: one of few servers that are missing after an outage; removing it");
-                self.removed.push((now, server.service.clone()));
             }
             immediate.push(removal);
         }
@@ -126,6 +132,14 @@
         missing
     }
 
+    /// Records how many servers each service has.
+    fn count_servers(&mut self, snapshot: &snapshot::Snapshot) {
+        for service in snapshot.registered_services() {
+            let largest = self.largest.entry(service.clone()).or_default();
+            *largest = (*largest).max(count_serving(snapshot, service));
+        }
+    }
+
     /// Whether callers can do without `missing` servers of a service and those already removed.
     fn are_few(
         &self,
@@ -133,11 +147,9 @@
         service: &id::Service,
         missing: usize,
     ) -> bool {
-        let removed = self.removed.iter().filter(|(_, name)| name == service);
-        let removed = removed.count();
-        let stored = snapshot.registrations(service).filter(|s| !s.leaving);
-        let total = stored.count() + removed;
-        (missing + removed) as f64 <= total as f64 * MAX_REMOVED_SHARE
+        let largest = self.largest.get(service).copied().unwrap_or_default();
+        let left = count_serving(snapshot, service).saturating_sub(missing);
+        (largest - left) as f64 <= largest as f64 * MAX_REMOVED_SHARE
     }
 
     /// Defers a removal; of two removals of an object, the earlier time and the later version hold.
--- a/crates/cluster/tests/engine/partitions.rs
+++ b/crates/cluster/tests/engine/partitions.rs
@@ -42,12 +42,13 @@
     link: Platform,
 }
 
-async fn start(name: &str, seeds: &[Linked], platform: &Platform) -> Linked {
+async fn start(number: usize, region: &str, seeds: &[Linked], platform: &Platform) -> Linked {
     let recorder = fixture::recorder();
     let link = platform.other_link();
     let seeds = seeds.iter().take(1);
     let seeds = seeds.map(|l| l.daemon.engine.local().peers).collect();
-    let config = fixture::settings(name, &recorder).timings(timings());
+    let config = fixture::settings_in(&format!("vm-{number}"), region, &recorder);
+    let config = config.timings(timings());
     let config = config.seeds(seeds).store(link.outage.clone());
     let engine = config.start().await.unwrap();
     let daemon = Daemon { engine, recorder };
@@ -58,7 +59,8 @@
 async fn fleet(count: usize, platform: &Platform) -> Vec<Linked> {
     let mut fleet = Vec::new();
     for number in 0..count {
-        fleet.push(start(&format!("vm-{number}"), &fleet, platform).await);
+        let linked = start(number, "attica", &fleet, platform).await;
+        fleet.push(linked);
     }
     for linked in &fleet {
         let joined = || linked.daemon.engine.members().len() == count;
@@ -274,3 +276,42 @@
     });
     futures_util::future::join_all(checks).await;
 }
+
+/// Guards against a service that loses most of its servers after an outage, as several watchers each remove
+/// some whose entries expired.
+#[tokio::test]
+async fn all_watchers_together_remove_few_of_the_missing_servers() {
+    const SERVERS: usize = 30;
+    const WATCHERS: usize = 4;
+    let platform = Platform::new();
+    let version = register(&platform, SERVERS, 0).await;
+    let mut fleet = Vec::new();
+    for number in 0..WATCHERS {
+        let region = format!("region-{number}");
+        let linked = start(number, &region, &fleet, &platform).await;
+        fleet.push(linked);
+    }
+    for linked in &fleet {
+        let joined = || linked.daemon.engine.members().len() == WATCHERS;
+        fixture::eventually("all joined", joined).await;
+        let stored = || stores(&linked.daemon.engine, &key(SERVERS - 1), version);
+        fixture::eventually("servers stored", stored).await;
+    }
+
+    fleet.iter().for_each(|l| l.link.set_available(false));
+    tokio::time::sleep(2 * EXPIRY_TIME).await;
+    fleet.iter().for_each(|l| l.link.set_available(true));
+    tokio::time::sleep(EXPIRY_TIME).await;
+    for server in 0..SERVERS {
+        remove(&platform, &key(server)).await;
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    tokio::time::sleep(EXPIRY_TIME).await;
+
+    let max_removed = (SERVERS as f64 * MAX_REMOVED_SHARE) as usize;
+    for linked in &fleet {
+        let removed = (0..SERVERS).filter(|server| !has(&linked.daemon.engine, &key(*server)));
+        let removed = removed.count();
+        assert!((1..=max_removed).contains(&removed), "{removed} removed");
+    }
+}
--- a/crates/config/src/snapshot.rs
+++ b/crates/config/src/snapshot.rs
@@ -118,6 +118,11 @@
         self.registry.get(server).map(Arc::as_ref)
     }
 
+    /// Services that servers have registered for.
+    pub fn registered_services(&self) -> impl Iterator<Item = &id::Service> {
+        self.registry.services()
+    }
+
     /// Registrations of the servers of a service.
     pub fn registrations(
         &self,
--- a/crates/config/src/snapshot/registry.rs
+++ b/crates/config/src/snapshot/registry.rs
@@ -24,6 +24,11 @@
         self.servers.get(server)
     }
 
+    /// Services that servers have registered for.
+    pub(super) fn services(&self) -> impl Iterator<Item = &id::Service> {
+        self.services.keys()
+    }
+
     /// The servers of a service.
     pub(super) fn of_service(
         &self,
