--- a/crates/cluster/src/spread/removals.rs
+++ b/crates/cluster/src/spread/removals.rs
@@ -4,7 +4,7 @@
 //! an outage to a daemon may be a partition of this daemon alone, in which servers leave as at any other
 //! time and must get no further requests. So a few missing servers of a service are removed at once:
 //! callers can do without them until they reappear, should they do so. After a restoration of the
-//! platform from a backup, all removals are deferred.
+//! platform from a backup, only servers that had said that they leave are.
 
 use std::time::{Duration, Instant};
 
