--- a/crates/cluster/src/spread/removals.rs
+++ b/crates/cluster/src/spread/removals.rs
@@ -13,8 +13,9 @@
 
 use super::held;
 
-/// Maximum share of a service's servers that are removed at once although they may reappear.
-const MAX_REMOVED_SHARE: f64 = 1.0 / 3.0;
+/// Minimum share of a service's servers that stay in use while others may reappear: the share of sound
+/// servers that the users' platform wants in use.
+const MIN_LEFT_SHARE: f64 = 0.7;
 
 /// The latest outage of the platform.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -37,7 +38,7 @@
 pub struct Removals {
     /// Time after an outage in which objects reappear.
     delay: Duration,
-    deferred: Vec<Deferred>,
+    deferred: map::Map<object::Key, Deferred>,
     /// Largest number of servers of each service since the latest outage, without those that leave.
     /// Other watchers remove servers as well.
     largest: map::Map<id::Service, usize>,
@@ -64,7 +65,7 @@
     pub fn new(delay: Duration) -> Self {
         Self {
             delay,
-            deferred: Vec::new(),
+            deferred: map::Map::default(),
             largest: map::Map::default(),
         }
     }
@@ -83,6 +84,9 @@
             return removals;
         };
         self.count_servers(snapshot);
+        if removals.is_empty() {
+            return removals;
+        }
         let mut immediate = Vec::new();
         let mut missing = self.missing_servers(snapshot);
         for removal in &removals {
@@ -122,7 +126,7 @@
         snapshot: &snapshot::Snapshot,
     ) -> map::Map<id::Service, map::Set<object::Key>> {
         let mut missing = map::Map::<_, map::Set<_>>::default();
-        for Deferred { object, .. } in &self.deferred {
+        for Deferred { object, .. } in self.deferred.values() {
             let reappeared = snapshot.version(&object.key) >= Some(object.version);
             if let Some(server) = registered(snapshot, &object.key).filter(|_| !reappeared) {
                 let keys = missing.entry(server.service.clone()).or_default();
@@ -149,31 +153,31 @@
     ) -> bool {
         let largest = self.largest.get(service).copied().unwrap_or_default();
         let left = count_serving(snapshot, service).saturating_sub(missing);
-        (largest - left) as f64 <= largest as f64 * MAX_REMOVED_SHARE
+        left as f64 >= largest as f64 * MIN_LEFT_SHARE
     }
 
     /// Defers a removal; of two removals of an object, the earlier time and the later version hold.
     fn push(&mut self, due_at: Instant, object: held::Object) {
-        let same = |deferred: &&mut Deferred| deferred.object.key == object.key;
-        if let Some(deferred) = self.deferred.iter_mut().find(same) {
+        if let Some(deferred) = self.deferred.get_mut(&object.key) {
             if deferred.object.version < object.version {
                 deferred.object = object;
             }
             return;
         }
         log::info!(object:% = object.key, version = object.version; "config: object is missing after an outage; deferring its removal");
-        self.deferred.push(Deferred { due_at, object });
+        let key = object.key.clone();
+        self.deferred.insert(key, Deferred { due_at, object });
     }
 
     /// Takes the deferred removals that are due. They have no effect on objects that reappeared, as
     /// these have newer versions.
     pub fn take_due(&mut self, now: Instant) -> Vec<held::Object> {
-        let due = self.deferred.extract_if(.., |d| d.due_at <= now);
-        due.map(|deferred| deferred.object).collect()
+        let due = self.deferred.extract_if(|_, d| d.due_at <= now);
+        due.map(|(_, deferred)| deferred.object).collect()
     }
 
     /// Time at which the next deferred removal is due.
     pub fn next_due_at(&self) -> Option<Instant> {
-        self.deferred.iter().map(|deferred| deferred.due_at).min()
+        self.deferred.values().map(|deferred| deferred.due_at).min()
     }
 }
--- a/crates/cluster/tests/engine/partitions.rs
+++ b/crates/cluster/tests/engine/partitions.rs
@@ -21,8 +21,13 @@
 /// Time within which a removal that is not deferred reaches every daemon.
 const REMOVAL_TIME: Duration = Duration::from_secs(10);
 
-/// Share of a service's servers that may be removed although they may reappear.
-const MAX_REMOVED_SHARE: f64 = 1.0 / 3.0;
+/// Share of a service's sound servers that must stay in use (`floor_share` of the users' platform).
+const FLOOR_SHARE: f64 = 0.7;
+
+/// Number of servers, of `total`, that may be removed although they may reappear.
+fn max_removed(total: usize) -> usize {
+    total - (total as f64 * FLOOR_SHARE).ceil() as usize
+}
 
 /// Timings with one watcher, and with which deferred removals are never applied.
 fn timings() -> config::Timings {
@@ -251,7 +256,7 @@
             tokio::time::sleep(Duration::from_millis(20)).await;
         }
 
-        let max_removed = ((servers - leaving) as f64 * MAX_REMOVED_SHARE) as usize;
+        let max_removed = max_removed(servers - leaving);
         let serving = missing.iter().filter(|server| **server >= leaving);
         let is_removed = |server: &usize| !has(engine, &key(*server));
         let what = format!("leaving servers removed, seed {seed}");
@@ -308,10 +313,47 @@
     }
     tokio::time::sleep(EXPIRY_TIME).await;
 
-    let max_removed = (SERVERS as f64 * MAX_REMOVED_SHARE) as usize;
+    let max_removed = max_removed(SERVERS);
     for linked in &fleet {
         let removed = (0..SERVERS).filter(|server| !has(&linked.daemon.engine, &key(*server)));
         let removed = removed.count();
         assert!((1..=max_removed).contains(&removed), "{removed} removed");
     }
 }
+
+/// Guards against a daemon that stands still after an outage in which the entries of all servers expired: the
+/// time to defer their removal grows with their number, not with its square.
+#[tokio::test]
+async fn deferring_the_removal_of_all_servers_takes_time_in_proportion_to_their_number() {
+    const FEW: usize = 4000;
+    const MANY: usize = 32_000;
+    // Eight times as many take 64 times as long if each is compared with all others.
+    const MAX_RATIO: f64 = 24.0;
+    let few = time_to_list_after_outage(FEW).await;
+    let many = time_to_list_after_outage(MANY).await;
+    let ratio = many.div_duration_f64(few);
+    assert!(ratio < MAX_RATIO, "{FEW}: {few:?}, {MANY}: {many:?}");
+}
+
+/// Time from the end of an outage in which all entries expired until an object written since is stored.
+async fn time_to_list_after_outage(servers: usize) -> Duration {
+    let platform = Platform::new();
+    let version = register(&platform, servers, 0).await;
+    let fleet = fleet(1, &platform).await;
+    let engine = &fleet[0].daemon.engine;
+    let stored = || stores(engine, &key(servers - 1), version);
+    fixture::eventually("servers stored", stored).await;
+    fleet[0].link.set_available(false);
+    tokio::time::sleep(2 * EXPIRY_TIME).await;
+    for server in 0..servers {
+        remove(&platform, &key(server)).await;
+    }
+    let zones = platform::zones("attica-a");
+    let version = platform.write(&object::Key::Zones, &zones).await;
+
+    let start = Instant::now();
+    fleet[0].link.set_available(true);
+    let stored = || stores(engine, &object::Key::Zones, version);
+    fixture::eventually("object stored", stored).await;
+    start.elapsed()
+}
