Test of the hangup signal waits until the settings are read again

Cause: the test looked for the line "settings read again" as soon as its request was answered, although nothing orders the signal's handling before the request.

The test now waits for the line, and sends a second request after it, which it did not before; both must succeed and the process must run. Nothing it asked before is dropped.

--- a/tests/all/gateway.rs
+++ b/tests/all/gateway.rs
@@ -243,9 +243,15 @@
         .expect("response");
 
     assert_eq!(reply.status, 200);
+    // The signals may be handled after the request.
+    wait::until("the settings are read again", || async {
+        let log = gateway.daemons[0].process.log();
+        log.contains("settings read again")
+    })
+    .await;
+    let later = gateway.daemons[0].send("GET", "/read/x", "g2").await;
+    assert_eq!(later.expect("response").status, 200);
     assert!(gateway.daemons[0].process.is_running());
-    let log = gateway.daemons[0].process.log();
-    assert!(log.contains("settings read again"), "{log}");
 }
 
 #[tokio::test(flavor = "multi_thread")]
