A response ends a probe only of the daemon that sent it

A crashed daemon stayed a member if a daemon of another VM got its address: a probe was ended by any response with its number, from whoever is at the address. Callers and claims were then directed at a daemon that no longer runs, for good unless the VM list names its VM as gone.

A direct response now counts only if its sender is the probed instance. Datagrams are unchanged, so daemons of both versions understand each other. A restart ends the pending probe of the earlier instance without a suspicion.

--- a/crates/policy/src/membership/protocol.rs
+++ b/crates/policy/src/membership/protocol.rs
@@ -8,7 +8,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use monsooncart_types::{id, map, time};
+use monsooncart_types::{id, instance, map, time};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use rand::seq::IndexedRandom;
@@ -36,6 +36,7 @@
 struct Probe {
     number: u64,
     vm: id::Vm,
+    instance: instance::Instance,
     started_at: time::Time,
     indirect_started: bool,
 }
--- a/crates/policy/src/membership/protocol/exchange.rs
+++ b/crates/policy/src/membership/protocol/exchange.rs
@@ -2,7 +2,7 @@
 
 use std::net;
 
-use monsooncart_types::time;
+use monsooncart_types::{instance, time};
 use rand::seq::IndexedRandom;
 
 use crate::membership::{action, event, member, message, queue, record, relays};
@@ -135,7 +135,7 @@
                 let ack = message::Kind::Ack { number };
                 self.send(message.reply, sender.as_ref(), ack, actions);
             }
-            message::Kind::Ack { number } => self.handle_ack(now, number, actions),
+            message::Kind::Ack { number } => self.handle_ack(now, message.from, number, actions),
             message::Kind::Indirect { number, target } => {
                 self.relay_probe(now, message.reply, number, target, actions);
             }
@@ -147,23 +147,27 @@
         }
     }
 
+    /// Ends the probe of the instance that responded, or forwards the response to the daemon on whose
+    /// behalf the instance was pinged.
     pub(super) fn handle_ack(
         &mut self,
         now: time::Time,
+        from: instance::Instance,
         number: u64,
         actions: &mut Vec<action::Action>,
     ) {
-        if self
-            .probe
-            .as_ref()
-            .is_some_and(|probe| probe.number == number)
-        {
-            self.probe = None;
+        if let Some(probe) = self.probe.as_ref().filter(|probe| probe.number == number) {
+            if from == probe.instance || self.proves_indirectly(from, probe.instance) {
+                self.probe = None;
+            }
             return;
         }
         let Some(relay) = self.relays.take(now, number) else {
             return;
         };
+        if from != relay.instance || !self.has_own_address(from) {
+            return;
+        }
         let ack = message::Kind::Ack {
             number: relay.number,
         };
@@ -171,6 +175,24 @@
         self.send(relay.requester, requester.as_ref(), ack, actions);
     }
 
+    /// Whether a response that `helper` forwarded proves that the probed instance is live: it names only
+    /// the address that responded, not the instance.
+    fn proves_indirectly(&self, helper: instance::Instance, probed: instance::Instance) -> bool {
+        self.table.by_instance(helper).is_some() && self.has_own_address(probed)
+    }
+
+    /// Whether no other live member is recorded at the address of an instance.
+    fn has_own_address(&self, instance: instance::Instance) -> bool {
+        let Some(record) = self.table.by_instance(instance) else {
+            return false;
+        };
+        let peers = record.member.peers;
+        let others = self.table.members().filter(|m| m.instance != instance);
+        !others
+            .into_iter()
+            .any(|m| m.state.is_live() && m.peers == peers)
+    }
+
     pub(super) fn relay_probe(
         &mut self,
         now: time::Time,
@@ -189,6 +211,7 @@
         let relay = relays::Relay {
             requester,
             number,
+            instance: receiver.member.instance,
             started_at: now,
         };
         self.relays.insert(self.last_ping_number, relay);
--- a/crates/policy/src/membership/protocol/probe.rs
+++ b/crates/policy/src/membership/protocol/probe.rs
@@ -23,9 +23,11 @@
         };
         let elapsed = now.since(probe.started_at);
         if elapsed >= self.timings.probe_interval {
-            let vm = probe.vm.clone();
+            let (vm, instance) = (probe.vm.clone(), probe.instance);
             self.probe = None;
-            self.suspect(now, &vm, actions);
+            if self.table.by_instance(instance).is_some() {
+                self.suspect(now, &vm, actions);
+            }
             self.probe_strongest_first();
             return;
         }
@@ -47,6 +49,7 @@
         self.probe = Some(Probe {
             number: self.last_ping_number,
             vm: target.member.vm.clone(),
+            instance: target.member.instance,
             started_at: now,
             indirect_started: false,
         });
--- a/crates/policy/src/membership/protocol/records.rs
+++ b/crates/policy/src/membership/protocol/records.rs
@@ -10,10 +10,11 @@
 use super::{MEAN_NOTIFIERS, Protocol};
 
 impl Protocol {
-    /// Returns the record of the member that listens at an address.
+    /// Returns the record of the member that listens at an address, or listened there last if none is
+    /// live.
     pub(super) fn record_at(&self, peers: net::SocketAddr) -> Option<record::Record> {
-        let mut records = self.table.records();
-        records.find(|r| r.member.peers == peers).cloned()
+        let records = self.table.records().filter(|r| r.member.peers == peers);
+        records.max_by_key(|r| r.member.state.is_live()).cloned()
     }
 
     pub(super) fn merge_records(
--- a/crates/policy/src/membership/relays.rs
+++ b/crates/policy/src/membership/relays.rs
@@ -3,7 +3,7 @@
 use std::net;
 use std::time::Duration;
 
-use monsooncart_types::{map, time};
+use monsooncart_types::{instance, map, time};
 
 /// Maximum number of pending relays.
 const MAX_RELAYS: usize = 1024;
@@ -18,6 +18,8 @@
     pub requester: net::SocketAddr,
     /// Number of the probe at the requester.
     pub number: u64,
+    /// Instance that was pinged.
+    pub instance: instance::Instance,
     /// Time at which the request arrived.
     pub started_at: time::Time,
 }
--- a/crates/policy/tests/membership/main.rs
+++ b/crates/policy/tests/membership/main.rs
@@ -2,6 +2,7 @@
 
 #![expect(clippy::unwrap_used, reason = "a failed fixture fails its test")]
 
+mod addresses;
 mod faults;
 mod life;
 mod network;
--- a/crates/policy/tests/membership/network.rs
+++ b/crates/policy/tests/membership/network.rs
@@ -111,6 +111,10 @@
         if self.strong.contains(&host) {
             local.capacity *= 4;
         }
+        self.insert(host, local, incarnation);
+    }
+
+    fn insert(&mut self, host: Host, local: member::Member, incarnation: u64) {
         let daemon = protocol::Protocol::new(
             self.now,
             local,
@@ -122,6 +126,15 @@
         self.daemons.insert(host, daemon);
     }
 
+    /// Starts a daemon of another VM at the address of a daemon that ended.
+    pub fn start_at_address_of(&mut self, host: Host, vm: id::Vm, region: &str) {
+        self.instance_count += 1;
+        let mut local = member(host, self.instance_count, region);
+        local.vm = vm;
+        let incarnation = 1000 + self.now.0 / 1_000_000;
+        self.insert(host, local, incarnation);
+    }
+
     /// Kills a daemon without a shutdown.
     pub fn kill(&mut self, host: Host) {
         self.daemons.remove(&host);
@@ -168,9 +181,9 @@
         if !self.passes(from, to) || !self.passes(to, from) {
             return;
         }
-        let local = self.daemons[&from].table();
-        let own_record = local.get(&vm(from)).cloned();
-        let digest = local.digest().to_vec();
+        let daemon = &self.daemons[&from];
+        let own_record = daemon.table().get(&daemon.local().vm).cloned();
+        let digest = daemon.table().digest().to_vec();
         self.handle(to, event::Event::Records(own_record.into_iter().collect()));
         let buckets = self.daemons[&to].table().differing_buckets(&digest);
         let remote_records = self.daemons[&to].table().records_in(&buckets, usize::MAX);
@@ -221,11 +234,20 @@
 
     /// Whether every daemon has a record of each running instance as alive.
     pub fn all_alive(&self) -> bool {
+        self.all_recorded(|state| state == member::State::Alive)
+    }
+
+    /// Whether every daemon has a record of each running instance as a member, perhaps a suspected one.
+    pub fn all_members(&self) -> bool {
+        self.all_recorded(member::State::is_live)
+    }
+
+    fn all_recorded(&self, expected: impl Fn(member::State) -> bool) -> bool {
         let members: Vec<_> = self.daemons.values().map(|d| d.local().clone()).collect();
         self.daemons.values().all(|d| {
             members.iter().all(|member| {
                 let recorded = d.table().by_instance(member.instance);
-                recorded.is_some_and(|r| r.member.state == member::State::Alive)
+                recorded.is_some_and(|r| expected(r.member.state))
             })
         })
     }
