--- a/crates/cluster/tests/engine/fixture.rs
+++ b/crates/cluster/tests/engine/fixture.rs
@@ -10,7 +10,7 @@
 use monsooncart_policy::claims::{claim, handover, ticket};
 use monsooncart_policy::membership::{member, timings};
 use monsooncart_types::instance;
-use monsooncart_wire::{claims, floor, update, usage};
+use monsooncart_wire::{claims, datagram, floor, update, usage};
 use tokio::runtime;
 
 /// Maximum time until a condition holds.
@@ -168,13 +168,24 @@
     config::Config::new(member(name), listen, handler).timings(timings())
 }
 
+/// Secret of the running test's fleet: daemons of other tests get ports that its daemons had.
+fn secret() -> datagram::Secret {
+    let mut key = [0; 32];
+    let thread = std::thread::current();
+    for (index, byte) in thread.name().unwrap().bytes().enumerate() {
+        key[index % 32] ^= byte.rotate_left(index as u32 / 32);
+    }
+    datagram::Secret::new(key)
+}
+
 pub fn settings_in(name: &str, region: &str, recorder: &Arc<Recorder>) -> config::Config {
     let handler: Arc<dyn handler::Handler> = recorder.clone();
     let member = member::Member {
         region: region.parse().unwrap(),
         ..member(name)
     };
-    config::Config::new(member, loopback(1), handler).timings(timings())
+    let config = config::Config::new(member, loopback(1), handler).timings(timings());
+    config.secret(Some(secret()))
 }
 
 pub async fn start(name: &str, seeds: Vec<net::SocketAddr>) -> Daemon {
