A comparison with peers asks further ones while none responds (CONFIG)

It had missed the announcement, and compared with one random peer at a time while four fifths of them were frozen and not suspected yet: a call to a lost peer takes 3 s, and the next comparison waits for 1.5 to 2.5 s after a failure.

A comparison now asks up to eight different peers, a further one each 150 ms, and ends with the first that responds. While peers respond, nothing more is sent.

--- a/crates/cluster/src/spread/compare.rs
+++ b/crates/cluster/src/spread/compare.rs
@@ -18,6 +18,13 @@
 /// a few milliseconds.
 const HEDGE_DELAY: Duration = Duration::from_millis(300);
 
+/// Delay before a further peer is asked to reconcile, as those before it may be lost unnoticed.
+const RECONCILIATION_HEDGE_DELAY: Duration = Duration::from_millis(150);
+
+/// Maximum number of peers that are asked to reconcile at a time. If four fifths of all are lost, one of
+/// them responds in five cases of six.
+const MAX_RECONCILIATION_PEERS: usize = 8;
+
 /// Maximum number of peers that announced objects are requested from at a time.
 const MAX_PULL_PEERS: usize = 3;
 
@@ -91,6 +98,11 @@
 /// alive. Watcher candidates choose each other half of the time, so that they know whether the
 /// watchers reach the platform.
 fn choose_peer(shared: &shared::Shared) -> Option<member::Member> {
+    choose_peers(shared, 1).pop()
+}
+
+/// Chooses up to `count` different members, the first one as [`choose_peer`] does.
+fn choose_peers(shared: &shared::Shared, count: usize) -> Vec<member::Member> {
     let live = shared.members.load();
     let alive = live.iter().filter(|m| m.state == member::State::Alive);
     let alive: Vec<_> = alive.cloned().collect();
@@ -98,9 +110,8 @@
     let members = if alone { live.as_slice() } else { &alive };
     let rng = &mut rand::rng();
     let candidates = watcher_candidates(shared, members);
-    if !candidates.is_empty() && rng.random() {
-        return candidates.choose(rng).map(|m| (*m).clone());
-    }
+    let is_candidate_chosen = !candidates.is_empty() && rng.random();
+    let first = candidates.choose(rng).filter(|_| is_candidate_chosen);
     let local = &shared.local;
     let any_region = rng.random_range(0..REMOTE_PEER_RATIO) == 0;
     let others = members.iter().filter(|m| m.instance != local.instance);
@@ -109,7 +120,13 @@
     if peers.is_empty() {
         peers = others.collect();
     }
-    peers.choose(rng).map(|m| (*m).clone())
+    let mut chosen: Vec<_> = first.copied().into_iter().collect();
+    for peer in peers.sample(rng, count) {
+        if chosen.len() < count && chosen.iter().all(|m| m.instance != peer.instance) {
+            chosen.push(peer);
+        }
+    }
+    chosen.into_iter().cloned().collect()
 }
 
 /// The other watcher candidates of the region; empty if this daemon is not a candidate itself.
@@ -171,16 +188,22 @@
     !pulls.is_empty() && future::select_ok(pulls).await.is_ok()
 }
 
-/// Reconciles with a peer; returns whether newer objects were pulled.
+/// Reconciles with the first peer that responds; returns whether newer objects were pulled.
 async fn reconcile(shared: &Arc<shared::Shared>) -> bool {
-    let Some(peer) = choose_peer(shared) else {
+    let peers = choose_peers(shared, MAX_RECONCILIATION_PEERS);
+    let calls = peers.into_iter().zip(0..).map(|(peer, index)| {
+        Box::pin(async move {
+            tokio::time::sleep(RECONCILIATION_HEDGE_DELAY * index).await;
+            let reconciled = reconcile_with(shared, &peer).await;
+            reconciled.inspect_err(|error| log::debug!(error:%; "config: reconciliation failed"))
+        })
+    });
+    let calls: Vec<_> = calls.collect();
+    if calls.is_empty() {
         return false;
-    };
-    let reconciled = reconcile_with(shared, &peer).await;
-    reconciled.unwrap_or_else(|error| {
-        log::debug!(error:%; "config: reconciliation failed");
-        false
-    })
+    }
+    let reconciled = future::select_ok(calls).await;
+    reconciled.is_ok_and(|(found, _)| found)
 }
 
 /// Compares digests with `peer` and pulls the objects that are newer there.
--- a/crates/cluster/tests/engine/dissemination.rs
+++ b/crates/cluster/tests/engine/dissemination.rs
@@ -414,3 +414,41 @@
         tokio::time::sleep(endless_timings().reconciliation_interval).await;
     }
 }
+
+/// Guards against a daemon that missed an announcement and waits for lost peers, one after the other,
+/// while it serves an older configuration (CONFIG).
+#[tokio::test]
+async fn a_missed_change_is_found_while_most_peers_are_lost_unnoticed() {
+    // Time in which a configuration must be in force.
+    const APPLY_TIME: Duration = Duration::from_millis(2500);
+    const LOST: usize = 6;
+    for _ in 0..5 {
+        let platform = Platform::new();
+        let settings =
+            |name: &str| fixture::settings(name, &fixture::recorder()).timings(endless_timings());
+        let watcher = settings("vm-0").store(platform.outage.clone());
+        let watcher = watcher.start().await.unwrap();
+        let change = platform.write(&object::Key::Zones, &many_zones(1)).await;
+        let stored = || stores(&watcher, &object::Key::Zones, change);
+        fixture::eventually("change stored", stored).await;
+        let mut lost = Vec::new();
+        for number in 0..LOST {
+            let engine = settings(&format!("lost-{number}"))
+                .seeds(vec![watcher.local().peers])
+                .advertise(Some(start_silent_listener().await));
+            lost.push(engine.start().await.unwrap());
+        }
+        let joined = || lost[0].members().len() == LOST + 1;
+        fixture::eventually("all joined", joined).await;
+
+        // Its members are known from a lost daemon, and the change is not announced to it.
+        let late = settings("late").seeds(vec![lost[0].bound_address()]);
+        let late = late.start().await.unwrap();
+        let joined = || late.members().len() == LOST + 2;
+        fixture::eventually("joined", joined).await;
+
+        let stored = || stores(&late, &object::Key::Zones, change);
+        let found = tokio::time::timeout(APPLY_TIME, fixture::eventually("found", stored));
+        assert!(found.await.is_ok(), "not within {APPLY_TIME:?}");
+    }
+}
