--- a/crates/proxy/src/link.rs
+++ b/crates/proxy/src/link.rs
@@ -16,6 +16,10 @@
 /// Maximum size of a response head, and of hyper's read and write buffers.
 const MAX_BUFFER_BYTES: usize = 128 << 10;
 
+/// Maximum number of header lines of a request or response: 16 KiB of the shortest ones. Each parsed head
+/// allocates 64 bytes a line.
+pub(crate) const MAX_HEADER_LINES: usize = 3300;
+
 /// A connection to a server or a relay; closed on drop.
 #[derive(Debug)]
 pub struct Connection {
@@ -56,6 +60,7 @@
         let gate = socket.gate();
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(MAX_BUFFER_BYTES)
+            .max_headers(MAX_HEADER_LINES)
             .handshake(TokioIo::new(socket))
             .await
             .map_err(io::Error::other)?;
--- a/crates/proxy/src/listener.rs
+++ b/crates/proxy/src/listener.rs
@@ -14,7 +14,7 @@
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 use tokio_util::task::TaskTracker;
 
-use crate::{activity, caller, engine, expiry, request, socket};
+use crate::{activity, caller, engine, expiry, link, request, socket};
 
 /// Delay after `accept` fails, for example because of too many open files.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
@@ -261,6 +261,7 @@
         .timer(TokioTimer::new())
         .header_read_timeout(None)
         .max_buf_size(max_head_bytes.saturating_add(HEAD_MARGIN_BYTES))
+        .max_headers(link::MAX_HEADER_LINES)
         .half_close(false);
     builder
         .http2()
--- a/crates/proxy/tests/all/statuses.rs
+++ b/crates/proxy/tests/all/statuses.rs
@@ -266,3 +266,34 @@
     assert!(reply.starts_with("HTTP/1.1 502"), "{reply}");
     assert_eq!(server.heads(), 1);
 }
+
+/// Guards against heads within the limit that are refused for the number of their lines.
+#[tokio::test]
+async fn heads_with_many_short_lines_are_forwarded_in_both_directions() {
+    const LINES: usize = 1400;
+    let lines = |name: &str| -> String {
+        let line = |number| format!("{name}-{number}: a\r\n");
+        (0..LINES).map(line).collect()
+    };
+    let response = format!(
+        "HTTP/1.1 200 OK\r\n{}content-length: 2\r\n\r\nok",
+        lines("s")
+    );
+    let script = vec![Step::ReadHead, Step::Write(response.into_bytes())];
+    let server = ScriptedServer::start(script).await;
+    let proxy = fixture::start_proxy(&[server.address]).await;
+    let request = format!(
+        "GET /items/1 HTTP/1.1\r\nhost: a\r\nconnection: close\r\nauthorization: Bearer {}\r\n{}\r\n",
+        fixture::KEY,
+        lines("c")
+    );
+
+    let reply = send_raw(proxy.address, request.as_bytes()).await;
+
+    assert!(reply.starts_with("HTTP/1.1 200"), "{reply}");
+    for number in 0..LINES {
+        let received = server.received_text();
+        assert!(received.contains(&format!("\r\nc-{number}: a\r\n")));
+        assert!(reply.contains(&format!("\r\ns-{number}: a\r\n")));
+    }
+}
