--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -14,6 +14,7 @@
 pub mod endpoints;
 pub mod entries;
 pub mod evidence;
+pub mod observers;
 pub mod paths;
 
 use std::collections::BTreeSet;
--- a/crates/daemon/src/gateway/entries.rs
+++ b/crates/daemon/src/gateway/entries.rs
@@ -16,6 +16,9 @@
 /// Share of the capacity of a data centre's daemons that its entry set must provide.
 const CAPACITY_SHARE: f64 = 0.4;
 
+/// Number of daemons of other data centres that are told which servers a data centre uses.
+const OBSERVERS: usize = 4;
+
 /// Rendezvous hashing key for daemons.
 const RANK_KEY: &[u8] = b"entries";
 
@@ -103,6 +106,17 @@
         self.sets.load().values().flatten().cloned().collect()
     }
 
+    /// Daemons of the sets of other data centres that are told which servers the daemons of a data centre
+    /// use, so that they notice when these are lost. All daemons of the data centre tell the same ones.
+    #[must_use]
+    pub fn observers(&self, data_centre: &id::DataCentre) -> Vec<member::Member> {
+        let sets = self.sets.load();
+        let others = sets.values().flatten();
+        let others = others.filter(|m| m.data_centre != *data_centre);
+        let observers = rank::top(data_centre.as_bytes(), others, OBSERVERS);
+        observers.into_iter().cloned().collect()
+    }
+
     /// Instances of the daemons of all sets, in ascending order.
     #[must_use]
     pub fn instances(&self) -> Vec<instance::Instance> {
--- a/crates/daemon/tests/entries.rs
+++ b/crates/daemon/tests/entries.rs
@@ -5,7 +5,7 @@
 use monsooncart_config::{object, objective, server, service, snapshot, zone};
 use monsooncart_daemon::{entries, gateway};
 use monsooncart_policy::membership::member;
-use monsooncart_types::{id, instance, share, span};
+use monsooncart_types::{id, instance, share, span, time};
 
 /// Daemons per entry set.
 const SET_SIZE: usize = 3;
@@ -205,3 +205,40 @@
     paths.record_own(&name("vault"), false);
     assert!(paths.lost_daemons().is_empty());
 }
+
+#[test]
+fn observers_of_a_data_centre_are_few_and_in_others() {
+    let sets = gateway::entries::Entries::new(SET_SIZE);
+    let members = members(60);
+    let data_centre = name("attica-a");
+
+    sets.update(&members, &[].into_iter().collect());
+    let observers = sets.observers(&data_centre);
+    let (lost, left): (Vec<_>, Vec<_>) = members
+        .into_iter()
+        .partition(|m| m.instance == observers[0].instance);
+    sets.update(&left, &[].into_iter().collect());
+    let later = sets.observers(&data_centre);
+
+    assert_eq!((observers.len(), later.len()), (4, 4));
+    assert!(observers.iter().all(|m| m.data_centre != data_centre));
+    assert!(!later.contains(&lost[0]));
+    assert_eq!(later.iter().filter(|m| observers.contains(m)).count(), 3);
+}
+
+#[test]
+fn a_former_observer_hears_of_a_daemon_until_it_no_longer_covers_servers() {
+    let mut observers = gateway::observers::Observers::default();
+    let [former, chosen] = [1, 2].map(|number| member(number, "b", "north"));
+    let at = |seconds: u64| time::Time::from_millis(1000 * seconds);
+
+    observers.record_report(at(0), vec![former.clone()]);
+    observers.record_report(at(9), vec![chosen.clone()]);
+    let mut receivers = observers.receivers();
+    observers.record_report(at(10), vec![chosen.clone()]);
+    let later = observers.receivers();
+
+    receivers.sort_unstable_by_key(|m| m.instance);
+    assert_eq!(receivers, [former, chosen.clone()]);
+    assert_eq!(later, [chosen]);
+}
--- a/crates/policy/src/event.rs
+++ b/crates/policy/src/event.rs
@@ -52,6 +52,18 @@
     pub suspicion: u32,
 }
 
+impl Digest {
+    /// Reports that the server was used, and nothing of its health or load: a median without results.
+    pub const USED: Self = Self {
+        good: 0,
+        bad: 0,
+        in_flight: 0,
+        oldest_millis: 0,
+        median_millis: u32::MAX,
+        suspicion: 0,
+    };
+}
+
 /// Result of an ejection or restoration that this or another daemon of the fleet requested.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
 #[strum(serialize_all = "kebab-case")]
--- a/crates/policy/src/selector.rs
+++ b/crates/policy/src/selector.rs
@@ -11,6 +11,7 @@
 //! refusal or the disconnection of its caller; no request is sent to more servers than it allows;
 //! an unrepeatable request has at most one attempt that may have been executed, and none after it.
 
+mod activity;
 mod admission;
 pub mod belief;
 pub mod budget;
@@ -23,9 +24,11 @@
 mod explain;
 mod in_flight;
 mod path_loss;
+mod peer_use;
 mod pending;
 pub mod rate_limit;
 mod relay;
+mod remote_window;
 pub mod report;
 mod retry;
 mod server;
@@ -89,6 +92,8 @@
     fleet: rate_limit::Fleet,
     path: path::Path,
     relays: relay::Relays,
+    remote_window: remote_window::RemoteWindow,
+    heard: peer_use::Heard,
     /// When a server responded last.
     last_response_at: time::Time,
     /// Servers that were removed from the configuration, with the time of their removal. What they
--- a/crates/policy/src/selector/choice.rs
+++ b/crates/policy/src/selector/choice.rs
@@ -102,19 +102,24 @@
         if !self.config.covers_servers {
             return None;
         }
-        let local = self.servers.iter().filter(|s| s.spec.local);
-        let (in_use, available) = local.filter(|server| !server.is_unavailable()).fold(
-            (0, 0),
-            |(in_use, available), server| {
-                (in_use + usize::from(server.is_in_use(now)), available + 1)
-            },
-        );
+        let (mut in_use, mut available, mut remote_in_flight) = (0, 0, 0);
+        for server in &self.servers {
+            if !server.spec.local {
+                remote_in_flight += server.in_flight;
+            }
+            if !server.is_unavailable() && server.activity.is_covered(now) {
+                available += 1;
+                in_use += usize::from(server.activity.is_in_use(now, &self.heard));
+            }
+        }
         let max_risk = coverage::max_risk(in_use, available);
-        let candidates = costs
-            .iter()
-            .filter(|(_, cost)| cost.failure_probability <= max_risk);
+        let has_remote_room = self.remote_window.has_room(remote_in_flight);
+        let candidates = costs.iter().filter(|(index, cost)| {
+            cost.failure_probability <= max_risk
+                && (self.servers[*index].spec.local || has_remote_room)
+        });
         let overdue = candidates.filter_map(|(index, _)| {
-            let overdue_time = self.servers[*index].overdue_time(now, is_retryable)?;
+            let overdue_time = self.servers[*index].overdue_time(now, &self.heard, is_retryable)?;
             Some((overdue_time, *index))
         });
         overdue.max().map(|(_, index)| index)
--- a/crates/policy/src/selector/config.rs
+++ b/crates/policy/src/selector/config.rs
@@ -6,7 +6,7 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
-use crate::selector::{Selector, budget, rate_limit, relay};
+use crate::selector::{Selector, budget, rate_limit, relay, remote_window};
 use crate::{path, poison, waiting};
 
 /// Builds a [`Selector`].
@@ -82,6 +82,8 @@
             latency_objective: Duration::from_secs(1),
             path: path::Path::default(),
             relays: relay::Relays::default(),
+            remote_window: remote_window::RemoteWindow::default(),
+            heard: map::Map::default(),
             last_response_at: time::Time::ZERO,
             removed_servers: map::Map::default(),
             fleet: rate_limit::Fleet {
--- a/crates/policy/src/selector/coverage.rs
+++ b/crates/policy/src/selector/coverage.rs
@@ -10,6 +10,9 @@
 //! the server became idle, and an attempt by one of them, which the others hear of, ends the turns of
 //! all. If a daemon is gone, stands still, or is not heard, the one whose turn is next takes its place.
 //!
+//! If no daemon of its data centre is left, those of other data centres that were told of its use before
+//! ([`super::report`]) take its place.
+//!
 //! Servers in doubt are left alone while almost all others are in use.
 
 use std::time::Duration;
--- a/crates/policy/src/selector/evidence.rs
+++ b/crates/policy/src/selector/evidence.rs
@@ -4,7 +4,7 @@
 
 use monsooncart_types::{instance, rate, time};
 
-use super::{Completion, SLOW_RATIO, Selector, in_flight};
+use super::{Completion, SLOW_RATIO, Selector, in_flight, peer_use};
 use crate::{action, event, handle, outcome};
 
 /// Lowest response status that counts as a failure.
@@ -56,6 +56,10 @@
                 self.record_poison_answer(now, fingerprint, status, actions);
             }
         }
+        let server = self.server_mut(in_flight.server);
+        if server.is_some_and(|server| !server.spec.local) {
+            self.remote_window.record(completion.outcome);
+        }
         let Some(server) = self.server_mut(in_flight.server) else {
             return;
         };
@@ -210,11 +214,21 @@
         if digests.iter().any(|(_, digest)| digest.good > 0) {
             self.relays.record_proof(now, from);
         }
+        // Only reports to the observers contain nothing else.
+        let is_use = digests.iter().all(|(_, d)| *d == event::Digest::USED);
+        if is_use {
+            peer_use::record_heard(&mut self.heard, now, from);
+        }
         for (server, digest) in digests {
-            if let Some(known) = self.server_mut(*server) {
-                known.merge_digest(now, from, digest);
-                self.report_state(now, *server, actions);
+            let Some(known) = self.server_mut(*server) else {
+                continue;
+            };
+            if is_use {
+                known.activity.record_use(now, from);
+                continue;
             }
+            known.merge_digest(now, from, digest);
+            self.report_state(now, *server, actions);
         }
     }
 }
--- a/crates/policy/src/selector/server.rs
+++ b/crates/policy/src/selector/server.rs
@@ -4,7 +4,7 @@
 
 use monsooncart_types::{instance, map, rate, time};
 
-use crate::selector::{belief, cost, coverage, rate_limit};
+use crate::selector::{activity, belief, cost, coverage, peer_use, rate_limit};
 use crate::{action, event, handle, inventory, service};
 
 /// Value of new evidence about a local server whose last evidence is [`STALE_EVIDENCE_AGE`] old or
@@ -94,11 +94,9 @@
     belief: belief::Belief,
     /// Time of the last evidence, or of the last attempt, which will yield evidence.
     last_evidence_at: time::Time,
-    /// Time of the last known attempt of this daemon or a peer; initially when the server became known.
-    last_attempt_at: time::Time,
-    /// Time without an attempt after which it is this daemon's turn to use the server.
-    turn: Duration,
-    in_flight: u32,
+    pub activity: activity::Activity,
+    /// Number of this daemon's attempts in flight.
+    pub in_flight: u32,
     peer_loads: map::Map<instance::Instance, PeerLoad>,
     /// When the backoff after refusals and failed connections ends.
     backoff_ends_at: time::Time,
@@ -128,19 +126,23 @@
     /// Creates a server without evidence; its turn depends on the daemon.
     pub fn new(now: time::Time, spec: inventory::Server, daemon: instance::Instance) -> Self {
         let turn = coverage::turn(daemon, &spec.name);
-        Self::with_turn(now, spec, turn)
+        let activity = activity::Activity::new(now, turn, spec.local);
+        Self::with_activity(now, spec, activity)
     }
 
-    fn with_turn(now: time::Time, spec: inventory::Server, turn: Duration) -> Self {
+    fn with_activity(
+        now: time::Time,
+        spec: inventory::Server,
+        activity: activity::Activity,
+    ) -> Self {
         Self {
-            turn,
+            activity,
             announced_leaving: false,
             replaced: false,
             removed: false,
             limiter: None,
             belief: belief::Belief::new(now),
             last_evidence_at: time::Time::ZERO,
-            last_attempt_at: now,
             in_flight: 0,
             peer_loads: map::Map::default(),
             backoff_ends_at: time::Time::ZERO,
@@ -160,7 +162,8 @@
     pub fn with_spec(mut self, now: time::Time, spec: inventory::Server) -> Self {
         if spec.started_millis != self.spec.started_millis {
             let in_flight = self.in_flight;
-            self = Self::with_turn(now, spec, self.turn);
+            let activity = self.activity.of_next_run(now, spec.local);
+            self = Self::with_activity(now, spec, activity);
             self.in_flight = in_flight;
             return self;
         }
@@ -307,22 +310,21 @@
             limiter.record_sent();
         }
         self.last_evidence_at = now;
-        self.last_attempt_at = now;
+        self.activity.last_attempt_at = now;
         self.digest_changed = true;
     }
 
-    /// Whether there was an attempt lately, of this daemon or of one that is heard.
-    pub fn is_in_use(&self, now: time::Time) -> bool {
-        now.since(self.last_attempt_at) < coverage::USE_TIME
-    }
-
-    /// Time by which the server is overdue for a request of this daemon; `None` if it is not due, or is
-    /// remote, as not all attempts at remote servers are known.
-    pub fn overdue_time(&self, now: time::Time, is_retryable: bool) -> Option<Duration> {
-        if !self.spec.local {
-            return None;
-        }
-        coverage::overdue_time(now.since(self.last_attempt_at), self.turn, is_retryable)
+    /// Time by which the server is overdue for a request of this daemon; `None` if it is not due, or is a
+    /// remote one that the daemon could not reach.
+    pub fn overdue_time(
+        &self,
+        now: time::Time,
+        heard: &peer_use::Heard,
+        is_retryable: bool,
+    ) -> Option<Duration> {
+        let is_reachable = self.spec.local || self.consecutive_unreachable == 0;
+        let overdue_time = self.activity.overdue_time(now, heard, is_retryable);
+        overdue_time.filter(|_| is_reachable)
     }
 
     /// Records that an attempt finished, with any result.
@@ -395,7 +397,7 @@
             self.observe(now, belief::Observation::Failure);
         }
         if digest.in_flight + digest.good + digest.bad > 0 {
-            self.last_attempt_at = now;
+            self.activity.last_attempt_at = now;
         }
         let load = PeerLoad {
             in_flight: digest.in_flight,
@@ -426,7 +428,7 @@
         action::Grounds {
             risk: (self.belief.failure_probability(now) * 1000.0) as u32,
             evidence_age_millis: millis_since(self.last_evidence_at),
-            idle_millis: millis_since(self.last_attempt_at),
+            idle_millis: millis_since(self.activity.last_attempt_at),
             load: self.load(now),
             slots: self.spec.slots,
             ..action::Grounds::default()
--- a/crates/policy/tests/selector/main.rs
+++ b/crates/policy/tests/selector/main.rs
@@ -10,6 +10,7 @@
 mod idle_servers;
 mod invariants;
 mod load;
+mod lost_data_centre;
 mod outcomes;
 mod overload;
 mod path_loss;
--- a/crates/policy/tests/selector/report.rs
+++ b/crates/policy/tests/selector/report.rs
@@ -86,3 +86,35 @@
     assert_eq!(reported[0].1.good, 2);
     assert_eq!(reported[0].1.in_flight, 4);
 }
+
+#[test]
+fn servers_in_use_are_reported_at_an_interval_and_presence_between() {
+    let mut reports = report::Reports::default();
+    let mut reported = Vec::new();
+
+    for millis in 0..6000 {
+        reports.add(&[(server(millis as u32 % 3), digest(1, 0))]);
+        reports.take(at(1000 + millis), |_| 6);
+        reported.extend(reports.take_use(at(1000 + millis)));
+    }
+
+    let of_use: Vec<_> = reported.iter().filter(|used| !used.is_empty()).collect();
+    assert_eq!((reported.len(), of_use.len()), (20, 3));
+    for used in &of_use[1..] {
+        assert_eq!(used.len(), 3);
+    }
+}
+
+#[test]
+fn use_is_reported_without_results() {
+    let mut reports = report::Reports::default();
+    reports.add(&[(server(0), digest(1, 1)), (server(1), digest(1, 0))]);
+
+    let failed = reports.take(at(1000), |_| 6);
+    let mut used = reports.take_use(at(1000)).unwrap_or_default();
+    used.sort_unstable_by(|a, b| a.0.cmp(&b.0));
+
+    assert_eq!(failed, [(server(0), digest(1, 1))]);
+    let used_servers = [0, 1].map(|number| (server(number), event::Digest::USED));
+    assert_eq!(used, used_servers);
+}
