--- a/review/rehearsal/src/cases/mod.rs
+++ b/review/rehearsal/src/cases/mod.rs
@@ -1,5 +1,6 @@
 //! The cases.
 
+mod hedged;
 mod poison;
 mod restored;
 mod uploads;
@@ -24,6 +25,7 @@
 /// Runs a case.
 pub async fn run(case: &str, trouble: bool, record: &Record) -> io::Result<Verdict> {
     match case {
+        "hedged" => hedged::run(trouble, record).await,
         "poison" => poison::run(poison::Plan::OtherTenant, trouble, record).await,
         "same-id" => poison::run(poison::Plan::SameId, trouble, record).await,
         "restored" => restored::run(trouble, record).await,
--- a/review/rehearsal/src/cases/poison.rs
+++ b/review/rehearsal/src/cases/poison.rs
@@ -124,7 +124,7 @@
                 request.target().1 == POISON_PATH && request.header("x-tenant") == Some("winery");
             match trouble && is_poison {
                 true => Action::Crash(DOWN),
-                false => Action::Work(plan.work(), String::new()),
+                false => Action::Work(plan.work(), "done".to_owned()),
             }
         });
         let registry = fleet.registry.clone();
--- a/review/rehearsal/src/cases/restored.rs
+++ b/review/rehearsal/src/cases/restored.rs
@@ -45,8 +45,9 @@
             keeps_id: false,
             beat_s: 1.5,
         };
-        let behaviour =
-            Box::new(|_: &http::Message| Action::Work(Duration::from_millis(300), String::new()));
+        let behaviour = Box::new(|_: &http::Message| {
+            Action::Work(Duration::from_millis(300), "done".to_owned())
+        });
         let registry = fleet.registry.clone();
         let (record, arrivals) = (record.clone(), arrivals.clone());
         servers
--- a/review/rehearsal/src/cases/uploads.rs
+++ b/review/rehearsal/src/cases/uploads.rs
@@ -47,7 +47,7 @@
             keeps_id: false,
             beat_s: 1.5,
         };
-        let behaviour = Box::new(|_: &http::Message| Action::Work(WORK, String::new()));
+        let behaviour = Box::new(|_: &http::Message| Action::Work(WORK, "done".to_owned()));
         let registry = fleet.registry.clone();
         let (record, arrivals) = (record.clone(), arrivals.clone());
         servers
--- a/review/rehearsal/src/server.rs
+++ b/review/rehearsal/src/server.rs
@@ -40,7 +40,7 @@
 /// What a server does with a request.
 #[derive(Clone, Debug)]
 pub enum Action {
-    /// Works for a time and answers 200 with these further header lines.
+    /// Works for a time and answers 200 with this body.
     Work(Duration, String),
     /// Crashes, and is back after this time.
     Crash(Duration),
@@ -293,14 +293,13 @@
                     self.crash(&attempt, down);
                     return Ok(());
                 }
-                Action::Work(work, lines) => {
+                Action::Work(work, body) => {
                     tokio::select! {
                         () = tokio::time::sleep(work) => {}
                         () = connection.closed() => return Ok(()),
                     }
-                    let body = format!("answer to {attempt}");
                     let text = format!(
-                        "HTTP/1.1 200 OK\r\nx-attempt-id: {attempt}\r\nx-server-seal: {id}\r\n{lines}content-length: {}\r\n\r\n{body}",
+                        "HTTP/1.1 200 OK\r\nx-attempt-id: {attempt}\r\nx-server-seal: {id}\r\ncontent-length: {}\r\n\r\n{body}",
                         body.len()
                     );
                     connection.stream.write_all(text.as_bytes()).await?;
