review: case 11, a hedged request is run without its body

At fault: hedge in crates/policy/src/selector/retry.rs doesn't ask whether a streamed body can still be sent, and Forwarder::call in crates/proxy/src/pass.rs gives the second attempt what is left of it.

--- a/review/11/run.sh
+++ b/review/11/run.sh
@@ -5,4 +5,4 @@
 for program in target/release/monsooncart target/review-3/release/rehearsal; do
     [ -x "$program" ] || { echo "missing: $program"; exit 2; }
 done
-exec target/review-3/release/rehearsal poison review/11
+exec target/review-3/release/rehearsal hedged review/11
