--- a/review/rehearsal/src/main.rs
+++ b/review/rehearsal/src/main.rs
@@ -11,13 +11,30 @@
 mod server;
 mod template;
 
+use std::io;
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::time::Duration;
 
+use tokio::signal::unix;
+
 /// Maximum length of a run.
 const MAX_RUN: Duration = Duration::from_secs(110);
 
+/// Waits for a signal to stop.
+async fn stopped() {
+    let (Ok(mut terminate), Ok(mut interrupt)) = (
+        unix::signal(unix::SignalKind::terminate()),
+        unix::signal(unix::SignalKind::interrupt()),
+    ) else {
+        return std::future::pending().await;
+    };
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+}
+
 #[tokio::main]
 async fn main() -> ExitCode {
     let mut arguments = std::env::args().skip(1);
@@ -30,9 +47,13 @@
     let record = record::Record::start();
     record.say(format!("case {case}, trouble: {trouble}"));
     let run = cases::run(&case, trouble, &record);
-    let result = match tokio::time::timeout(MAX_RUN, run).await {
-        Ok(result) => result,
-        Err(_) => Err(std::io::Error::other("the run takes too long")),
+    // Whichever ends the run, dropping it ends the processes that it started.
+    let result = tokio::select! {
+        result = tokio::time::timeout(MAX_RUN, run) => match result {
+            Ok(result) => result,
+            Err(_) => Err(io::Error::other("the run takes too long")),
+        },
+        () = stopped() => Err(io::Error::other("the run was stopped from outside")),
     };
     let code = match result {
         Ok(cases::Verdict::Held) => {
