--- a/review/rehearsal/src/cases/hedged.rs
+++ b/review/rehearsal/src/cases/hedged.rs
@@ -14,7 +14,7 @@
 use crate::server::{Action, Server, Spec};
 
 const SERVICE: &str = "order-desk";
-const SERVERS: u8 = 6;
+const SERVERS: u8 = 7;
 /// Time that a server works on a request.
 const WORK: Duration = Duration::from_millis(150);
 /// By how much the slow server takes longer.
@@ -78,7 +78,7 @@
         let spec = Spec {
             service: SERVICE,
             zone: fleet::ZONE,
-            address: (fleet.ip(100 + number), 8080).into(),
+            address: (fleet.ip(fleet::FIRST_SERVER + number), fleet::SERVER_PORT).into(),
             slots: 3,
             keeps_id: false,
             beat_s: 1.5,
--- a/review/rehearsal/src/cases/poison.rs
+++ b/review/rehearsal/src/cases/poison.rs
@@ -114,7 +114,7 @@
         let spec = Spec {
             service: SERVICE,
             zone: fleet::ZONE,
-            address: (fleet.ip(100 + number), 8080).into(),
+            address: (fleet.ip(fleet::FIRST_SERVER + number), fleet::SERVER_PORT).into(),
             slots: plan.slots(),
             keeps_id: plan == Plan::SameId,
             beat_s: 1.5,
--- a/review/rehearsal/src/cases/restored.rs
+++ b/review/rehearsal/src/cases/restored.rs
@@ -40,7 +40,7 @@
         let spec = Spec {
             service: SERVICE,
             zone: fleet::ZONE,
-            address: (fleet.ip(100 + number), 8080).into(),
+            address: (fleet.ip(fleet::FIRST_SERVER + number), fleet::SERVER_PORT).into(),
             slots: 6,
             keeps_id: false,
             beat_s: 1.5,
--- a/review/rehearsal/src/cases/uploads.rs
+++ b/review/rehearsal/src/cases/uploads.rs
@@ -22,12 +22,18 @@
 /// Size of an upload; the sheet's are 60 kB in the mean and 360 kB at most.
 const BODY_BYTES: usize = 150_000;
 /// Requests a second; the servers have room for 66.
-const RATE: f64 = 100.0;
-const LENGTH: Duration = Duration::from_secs(25);
-/// Every fifth consumer gives up.
-const GIVE_UP_EVERY: usize = 5;
-/// Time after which it leaves: between these.
+const RATE: f64 = 60.0;
+/// `burst`: by how much there are more, from when and for how long, in seconds of the traffic.
+const BURST: f64 = 2.2;
+const BURST_FROM_S: f64 = 4.0;
+const BURST_S: f64 = 6.9;
+/// `give_up`: so many of ten consumers, from when and for how long.
+const GIVE_UP_OF_TEN: usize = 3;
+const GIVE_UP_FROM_S: f64 = 5.5;
+const GIVE_UP_S: f64 = 5.0;
+/// Time after which such a consumer leaves: between these.
 const LEAVES_AFTER_MS: [u64; 2] = [100, 300];
+const LENGTH: Duration = Duration::from_secs(14);
 /// Late requests that the rule allows: more than a few.
 const FEW: usize = 5;
 
@@ -42,7 +48,7 @@
         let spec = Spec {
             service: SERVICE,
             zone: fleet::ZONE,
-            address: (fleet.ip(100 + number), 8080).into(),
+            address: (fleet.ip(fleet::FIRST_SERVER + number), fleet::SERVER_PORT).into(),
             slots: SLOTS,
             keeps_id: false,
             beat_s: 1.5,
@@ -66,7 +72,9 @@
         }
         let front = fronts[number % fronts.len()];
         let (record, left) = (record.clone(), left.clone());
-        let leaves = trouble && number % GIVE_UP_EVERY == 0;
+        let at = record.now() - started_at;
+        let gives_up = (GIVE_UP_FROM_S..GIVE_UP_FROM_S + GIVE_UP_S).contains(&at);
+        let leaves = trouble && gives_up && number % 10 < GIVE_UP_OF_TEN;
         consumers.push(tokio::spawn(async move {
             let id = format!("u{number}");
             let mut request = format!(
@@ -102,7 +110,13 @@
                 }
             }
         }));
-        sleep(Duration::from_secs_f64(1.0 / RATE)).await;
+        let is_burst = (BURST_FROM_S..BURST_FROM_S + BURST_S).contains(&at);
+        let rate = if trouble && is_burst {
+            RATE * BURST
+        } else {
+            RATE
+        };
+        sleep(Duration::from_secs_f64(1.0 / rate)).await;
     }
     for consumer in consumers {
         let _ = consumer.await;
--- a/review/rehearsal/src/fleet.rs
+++ b/review/rehearsal/src/fleet.rs
@@ -26,6 +26,19 @@
 const ADMIN_PORT: u16 = 8166;
 const READY_PORT: u16 = 8167;
 const INTERNAL_PORT: u16 = 7720;
+/// As in the template.
+const METRICS_PORT: u16 = 9464;
+pub const SERVER_PORT: u16 = 8080;
+const STORE_PORT: u16 = 8169;
+
+/// Last bytes of the loopback addresses.
+const MAX_DAEMONS: u8 = 3;
+pub const FIRST_SERVER: u8 = 100;
+const MAX_SERVERS: u8 = 10;
+const STORE: u8 = 250;
+
+/// Number of loopback networks that are tried.
+const NETWORKS: u32 = 20;
 
 /// Objects on a page of the store.
 const PAGE_OBJECTS: usize = 50;
@@ -93,6 +106,26 @@
     }
 }
 
+/// Whether all ports that a run may use are free at the loopback addresses of a network.
+fn is_free(network: [u8; 3]) -> bool {
+    let [a, b, c] = network;
+    let at = |host: u8, port: u16| SocketAddr::from(([a, b, c, host], port));
+    let daemon_ports = [
+        FRONT_PORT,
+        REGISTRY_PORT,
+        ADMIN_PORT,
+        READY_PORT,
+        INTERNAL_PORT,
+        METRICS_PORT,
+    ];
+    let daemons = (1..=MAX_DAEMONS).flat_map(|host| daemon_ports.map(|port| at(host, port)));
+    let servers = (0..MAX_SERVERS).map(|number| at(FIRST_SERVER + number, SERVER_PORT));
+    let mut streams = daemons.chain(servers).chain([at(STORE, STORE_PORT)]);
+    let mut datagrams = (1..=MAX_DAEMONS).map(|host| at(host, INTERNAL_PORT));
+    streams.all(|address| std::net::TcpListener::bind(address).is_ok())
+        && datagrams.all(|address| std::net::UdpSocket::bind(address).is_ok())
+}
+
 /// Starts a daemon with the command of the deploy file.
 fn spawn(settings: &Path, log: &Path) -> io::Result<Child> {
     let log = File::options().create(true).append(true).open(log)?;
@@ -125,7 +158,10 @@
     /// Starts the store with a configuration. No daemon runs yet.
     pub async fn start(configuration: &Value) -> io::Result<Self> {
         let process = std::process::id();
-        let network = [127, 60 + (process / 250 % 150) as u8, (process % 250) as u8];
+        let networks = (0..NETWORKS).map(|number| process.wrapping_add(number * 7919));
+        let mut networks = networks.map(|n| [127, 60 + (n / 250 % 150) as u8, (n % 250) as u8]);
+        let network = networks.find(|network| is_free(*network));
+        let network = network.ok_or_else(|| io::Error::other("no network with free ports"))?;
         let folder = std::env::temp_dir().join(format!("monsooncart-rehearsal-{process}"));
         std::fs::create_dir_all(&folder)?;
         let registry = Registry::new(PAGE_OBJECTS);
@@ -148,7 +184,7 @@
     }
 
     fn store(&self) -> SocketAddr {
-        (self.ip(250), 8169).into()
+        (self.ip(STORE), STORE_PORT).into()
     }
 
     /// Starts daemons, and waits until each is ready and the directory names them all.
--- a/review/rehearsal/src/main.rs
+++ b/review/rehearsal/src/main.rs
@@ -46,14 +46,21 @@
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let record = record::Record::start();
     record.say(format!("case {case}, trouble: {trouble}"));
-    let run = cases::run(&case, trouble, &record);
-    // Whichever ends the run, dropping it ends the processes that it started.
-    let result = tokio::select! {
-        result = tokio::time::timeout(MAX_RUN, run) => match result {
+    let (name, clock) = (case.clone(), record.clone());
+    let mut run = tokio::spawn(async move {
+        match tokio::time::timeout(MAX_RUN, cases::run(&name, trouble, &clock)).await {
             Ok(result) => result,
             Err(_) => Err(io::Error::other("the run takes too long")),
-        },
-        () = stopped() => Err(io::Error::other("the run was stopped from outside")),
+        }
+    });
+    // However the run ends, it is dropped, which ends the processes that it started.
+    let result = tokio::select! {
+        result = &mut run => result.unwrap_or_else(|error| Err(io::Error::other(error))),
+        () = stopped() => {
+            run.abort();
+            let _ = run.await;
+            Err(io::Error::other("the run was stopped from outside"))
+        }
     };
     let code = match result {
         Ok(cases::Verdict::Held) => {
