proxy: grant a streamed body to one attempt at a time

Cause: whether a body can be sent again is asked of the results of attempts; a hedge starts without one. Each new attempt took the stream, whatever an earlier one had read, and cut that one off.

Change: the border that hands out the body grants it to one attempt, when the request is built. An attempt that is denied it ends as body-taken: not sent, no blame, its retry token refunded, the first one goes on. Both policies learn who has the body and don't hedge meanwhile.

--- a/crates/policy/src/balancer.rs
+++ b/crates/policy/src/balancer.rs
@@ -78,6 +78,12 @@
             event::Event::ResponseHead { attempt, status } => {
                 self.record_head(now, attempt, status, actions);
             }
+            event::Event::BodyTaken(attempt) => {
+                let request = self.in_flight.get(&attempt).map(|sent| sent.request);
+                if let Some(pending) = request.and_then(|r| self.requests.get_mut(&r)) {
+                    pending.body_holder = Some(attempt);
+                }
+            }
             event::Event::Finish {
                 attempt,
                 outcome,
--- a/crates/policy/src/balancer/finish.rs
+++ b/crates/policy/src/balancer/finish.rs
@@ -117,7 +117,7 @@
             return;
         };
         self.release_slot(now, attempt, &in_flight, &completion, actions);
-        self.resolve_request(now, attempt, &in_flight, &completion, actions);
+        self.resolve_request(now, attempt, &in_flight, completion, actions);
         self.dispatch_queued(now, actions);
     }
 
@@ -272,7 +272,8 @@
         let backend = &mut self.backends[index];
         backend.trial_in_flight = false;
         let caller_disconnected = outcome == outcome::Outcome::Cancelled && !in_flight.cancelled;
-        if caller_disconnected || backend.is_leaving() {
+        let is_untried = caller_disconnected || outcome == outcome::Outcome::BodyTaken;
+        if is_untried || backend.is_leaving() {
             return;
         }
         let healthy = matches!(outcome, outcome::Outcome::Answered(_)) && in_flight.has_good_head;
@@ -292,7 +293,7 @@
         now: time::Time,
         attempt: handle::Attempt,
         in_flight: &in_flight::Attempt,
-        completion: &Completion,
+        mut completion: Completion,
         actions: &mut Vec<action::Action>,
     ) {
         let request = in_flight.request;
@@ -304,9 +305,15 @@
         };
         pending.attempts.retain(|&a| a != attempt);
         pending.may_have_run |= completion.outcome.execution() == outcome::Execution::Unknown;
-        if completion.outcome == outcome::Outcome::Removed {
+        completion.replayable = pending.finish_body(attempt, completion.replayable);
+        if let outcome::Outcome::Removed | outcome::Outcome::BodyTaken = completion.outcome {
             pending.tried_servers.retain(|&s| s != in_flight.server);
         }
+        if completion.outcome == outcome::Outcome::BodyTaken && !pending.attempts.is_empty() {
+            // The hedge was paid for and not sent.
+            self.budget.refund();
+            return;
+        }
         if let outcome::Outcome::Answered(_) | outcome::Outcome::Cancelled = completion.outcome {
             let others = std::mem::take(&mut pending.attempts);
             self.requests.remove(&request);
@@ -316,10 +323,10 @@
         if !pending.attempts.is_empty() {
             return;
         }
-        if self.try_withdraw_retry(now, request, in_flight, completion) {
+        if self.try_withdraw_retry(now, request, in_flight, &completion) {
             self.retry(now, request, actions);
         } else {
-            let reason = self.refusal_reason(in_flight, completion);
+            let reason = self.refusal_reason(in_flight, &completion);
             self.refuse(now, request, reason, actions);
         }
     }
@@ -343,8 +350,11 @@
             && !in_flight.fingerprint.is_some_and(quarantined)
             && pending.tried_servers.len() < arrival.max_attempts as usize
             && now + self.expected_head_time() <= arrival.deadline
-            // An attempt at a removed server was not sent and adds no load to the service.
-            && (completion.outcome == outcome::Outcome::Removed || self.budget.withdraw_retry())
+            // An attempt that was not sent adds no load to the service.
+            && (matches!(
+                completion.outcome,
+                outcome::Outcome::Removed | outcome::Outcome::BodyTaken
+            ) || self.budget.withdraw_retry())
     }
 
     /// The reason for refusing a request that is not retried.
--- a/crates/policy/src/balancer/maintenance.rs
+++ b/crates/policy/src/balancer/maintenance.rs
@@ -145,6 +145,7 @@
         let suspected = |f| self.poison.is_suspected(f);
         arrival.repeatable
             && !pending.hedged
+            && pending.body_holder.is_none()
             && !pending.has_head
             && !arrival.fingerprint.is_some_and(suspected)
             && now + self.expected_head_time() <= arrival.deadline
--- a/crates/policy/src/balancer/pending.rs
+++ b/crates/policy/src/balancer/pending.rs
@@ -12,6 +12,8 @@
     pub tried_servers: Vec<handle::Server>,
     /// Whether a finished or cancelled attempt may have been executed.
     pub may_have_run: bool,
+    /// Attempt that has the body of the request, if there is only one.
+    pub body_holder: Option<handle::Attempt>,
     pub queued: bool,
     /// Whether a response head arrived.
     pub has_head: bool,
@@ -28,9 +30,19 @@
             attempts: Vec::new(),
             tried_servers: Vec::new(),
             may_have_run: false,
+            body_holder: None,
             queued: false,
             has_head: false,
             hedged: false,
         }
     }
+
+    /// Records the end of an attempt, after which the body is `intact` or not; returns whether the
+    /// request can be sent again.
+    pub fn finish_body(&mut self, attempt: handle::Attempt, intact: bool) -> bool {
+        if intact && self.body_holder == Some(attempt) {
+            self.body_holder = None;
+        }
+        intact && self.body_holder.is_none()
+    }
 }
--- a/crates/policy/src/event.rs
+++ b/crates/policy/src/event.rs
@@ -99,6 +99,9 @@
         /// Status of the response.
         status: u16,
     },
+    /// An attempt sends the body of its request, which is held only once: no other attempt can have it
+    /// unless this one finishes with the body intact.
+    BodyTaken(handle::Attempt),
     /// A server responded to an attempt in any way, with a refusal too.
     Responded {
         /// The attempt.
--- a/crates/policy/src/outcome.rs
+++ b/crates/policy/src/outcome.rs
@@ -45,6 +45,8 @@
     /// The server was removed from the configuration, or is known to be leaving, before the request
     /// was written to a connection.
     Removed,
+    /// Nothing was sent, as another attempt has the body of the request, which is held only once.
+    BodyTaken,
     /// The connection failed after bytes were sent and before the response was complete.
     Broken,
     /// No response head was received in time.
@@ -61,9 +63,11 @@
     #[must_use]
     pub fn execution(self) -> Execution {
         match self {
-            Self::Shed { .. } | Self::Unsent | Self::Removed | Self::Misdirected => {
-                Execution::NotRun
-            }
+            Self::Shed { .. }
+            | Self::Unsent
+            | Self::Removed
+            | Self::BodyTaken
+            | Self::Misdirected => Execution::NotRun,
             _ => Execution::Unknown,
         }
     }
--- a/crates/policy/src/selector.rs
+++ b/crates/policy/src/selector.rs
@@ -160,6 +160,7 @@
                 };
                 self.record_completion(now, attempt, completion, actions);
             }
+            event::Event::BodyTaken(attempt) => self.record_body_taken(attempt),
             event::Event::Responded {
                 attempt,
                 connected_at,
@@ -461,11 +462,11 @@
         &mut self,
         now: time::Time,
         attempt: handle::Attempt,
-        completion: Completion,
+        mut completion: Completion,
         actions: &mut Vec<action::Action>,
     ) {
         let Some(in_flight) = self.in_flight.remove(&attempt) else {
-            self.record_relay_completion(now, attempt, &completion, actions);
+            self.record_relay_completion(now, attempt, completion, actions);
             return;
         };
         self.record_outcome(now, &in_flight, &completion, actions);
@@ -476,10 +477,17 @@
             return;
         };
         pending.attempts.retain(|&a| a != attempt);
+        completion.replayable = pending.finish_body(attempt, completion.replayable);
         pending.may_have_run |= completion.outcome.execution() == outcome::Execution::Unknown;
-        if completion.outcome == outcome::Outcome::Removed {
+        if let outcome::Outcome::Removed | outcome::Outcome::BodyTaken = completion.outcome {
             pending.tried_servers.retain(|&s| s != in_flight.server);
         }
+        if completion.outcome == outcome::Outcome::BodyTaken && pending.hedge == Some(attempt) {
+            self.budget.refund_retry(now);
+        }
+        let Some(pending) = self.requests.get_mut(&in_flight.request) else {
+            return;
+        };
         if completion.outcome == outcome::Outcome::Unsent {
             pending.tried_servers.retain(|&s| s != in_flight.server);
             pending.unreachable_servers.push(in_flight.server);
@@ -496,7 +504,7 @@
         // An attempt that was not sent adds no load to the service.
         let added_load = !matches!(
             completion.outcome,
-            outcome::Outcome::Unsent | outcome::Outcome::Removed
+            outcome::Outcome::Unsent | outcome::Outcome::Removed | outcome::Outcome::BodyTaken
         );
         let (request, fingerprint) = (in_flight.request, in_flight.fingerprint);
         self.retry_or_refuse(now, request, fingerprint, &completion, added_load, actions);
--- a/crates/policy/src/selector/budget.rs
+++ b/crates/policy/src/selector/budget.rs
@@ -158,6 +158,18 @@
         self.held_slack -= 1.0 - of_share;
     }
 
+    /// Takes back a retry that was counted and not sent.
+    pub fn refund_retry(&mut self, now: time::Time) {
+        self.earn_slack(now);
+        let mut left = 1.0;
+        for slice in self.slices.iter_mut().rev() {
+            let of_share = slice.retries.min(left);
+            slice.retries -= of_share;
+            left -= of_share;
+        }
+        self.held_slack = (self.held_slack + left).min(self.slack_per_window());
+    }
+
     /// Part of the next retry that draws on the share, the rest of it on the slack; `None` if it would
     /// exceed the bound. Daemons with few requests would lose what neither of the two has whole.
     fn part_of_share(&mut self, now: time::Time, priority: u32) -> Option<f64> {
--- a/crates/policy/src/selector/evidence.rs
+++ b/crates/policy/src/selector/evidence.rs
@@ -100,7 +100,9 @@
             outcome::Outcome::Misdirected => server.replaced = true,
             outcome::Outcome::Removed => server.removed = true,
             outcome::Outcome::Unsent => server.record_unreachable(now),
-            outcome::Outcome::Timeout | outcome::Outcome::Cancelled => {}
+            outcome::Outcome::Timeout
+            | outcome::Outcome::BodyTaken
+            | outcome::Outcome::Cancelled => {}
         }
         self.report_state(now, in_flight.server, actions);
         self.record_path_failure(now, in_flight, completion.outcome, actions);
--- a/crates/policy/src/selector/path_loss.rs
+++ b/crates/policy/src/selector/path_loss.rs
@@ -127,7 +127,7 @@
         &mut self,
         now: time::Time,
         attempt: handle::Attempt,
-        completion: &Completion,
+        mut completion: Completion,
         actions: &mut Vec<action::Action>,
     ) {
         let Some(relayed) = self.relays.take_finished(attempt) else {
@@ -155,6 +155,16 @@
             return;
         };
         pending.attempts.retain(|&a| a != attempt);
+        completion.replayable = pending.finish_body(attempt, completion.replayable);
+        if completion.outcome == outcome::Outcome::BodyTaken {
+            pending.tried_relays.retain(|&peer| peer != relayed.peer);
+            if pending.hedge == Some(attempt) {
+                self.budget.refund_retry(now);
+            }
+        }
+        let Some(pending) = self.requests.get_mut(&relayed.request) else {
+            return;
+        };
         match completion.outcome.execution() {
             outcome::Execution::NotRun => pending.relayed_attempts -= relayed.max_attempts,
             outcome::Execution::Unknown => pending.may_have_run = true,
@@ -170,7 +180,7 @@
             // The relay itself counts what it sent to servers.
             let added_load = completion.outcome.execution() == outcome::Execution::Unknown;
             let request = relayed.request;
-            self.retry_or_refuse(now, request, fingerprint, completion, added_load, actions);
+            self.retry_or_refuse(now, request, fingerprint, &completion, added_load, actions);
         }
     }
 
@@ -361,7 +371,7 @@
                 return false;
             };
             let in_flight = self.in_flight.get(attempt);
-            in_flight.is_some_and(|attempt| !attempt.responded)
+            pending.body_holder.is_none() && in_flight.is_some_and(|attempt| !attempt.responded)
         };
         let repeatable = self
             .requests
@@ -377,8 +387,7 @@
                 continue;
             }
             if let Some(target @ Target::Relay(_)) = self.select_target(now, &pending) {
-                self.record_retry(now, pending.arrival.priority);
-                self.send_to(now, request, target, actions);
+                self.send_hedge(now, request, target, actions);
             }
         }
     }
--- a/crates/policy/src/selector/pending.rs
+++ b/crates/policy/src/selector/pending.rs
@@ -21,6 +21,10 @@
     pub relayed_attempts: u32,
     /// Whether a finished attempt may have been executed.
     pub may_have_run: bool,
+    /// Attempt that has the body of the request, if there is only one.
+    pub body_holder: Option<handle::Attempt>,
+    /// Hedge that has drawn on the retry budget.
+    pub hedge: Option<handle::Attempt>,
 }
 
 impl Request {
@@ -35,6 +39,17 @@
             tried_relays: Vec::new(),
             relayed_attempts: 0,
             may_have_run: false,
+            body_holder: None,
+            hedge: None,
         }
     }
+
+    /// Records the end of an attempt, after which the body is `intact` or not; returns whether the
+    /// request can be sent again.
+    pub fn finish_body(&mut self, attempt: handle::Attempt, intact: bool) -> bool {
+        if intact && self.body_holder == Some(attempt) {
+            self.body_holder = None;
+        }
+        intact && self.body_holder.is_none()
+    }
 }
--- a/crates/policy/src/selector/relay.rs
+++ b/crates/policy/src/selector/relay.rs
@@ -135,6 +135,11 @@
         attempts.map(move |attempt| (attempt.request, now.since(attempt.sent_at)))
     }
 
+    /// Request of an attempt in flight.
+    pub fn request_of(&self, id: handle::Attempt) -> Option<handle::Request> {
+        self.attempts.get(&id).map(|attempt| attempt.request)
+    }
+
     /// Marks an attempt as cancelled; returns whether it is in flight at a relay.
     pub fn cancel(&mut self, id: handle::Attempt) -> bool {
         let attempt = self.attempts.get_mut(&id);
--- a/crates/policy/src/selector/remote_window.rs
+++ b/crates/policy/src/selector/remote_window.rs
@@ -38,7 +38,7 @@
             outcome::Outcome::Unsent | outcome::Outcome::Timeout => {
                 self.limit = (self.limit / 2).max(1);
             }
-            outcome::Outcome::Cancelled => {}
+            outcome::Outcome::BodyTaken | outcome::Outcome::Cancelled => {}
             _ => self.limit = (self.limit + 1).min(MAX_LIMIT),
         }
     }
--- a/crates/policy/src/selector/retry.rs
+++ b/crates/policy/src/selector/retry.rs
@@ -4,6 +4,7 @@
 
 use monsooncart_types::time;
 
+use super::path_loss::Target;
 use super::{Completion, Selector};
 use crate::{action, handle, outcome, service};
 
@@ -93,6 +94,7 @@
         let hedge_after = hedge_after.max(self.typical_latency().mul_f64(HEDGE_LATENCY_RATIO));
         let may_hedge = arrival.repeatable
             && pending.attempts.len() == 1
+            && pending.body_holder.is_none()
             && age >= hedge_after
             && now < arrival.deadline
             && !arrival.fingerprint.is_some_and(suspected);
@@ -106,8 +108,35 @@
             false => self.select_target(now, &pending),
         };
         if let Some(target) = target {
-            self.record_retry(now, pending.arrival.priority);
-            self.send_to(now, request, target, actions);
+            self.send_hedge(now, request, target, actions);
+        }
+    }
+
+    /// Sends a second attempt beside the first one, at the expense of the budget.
+    pub(super) fn send_hedge(
+        &mut self,
+        now: time::Time,
+        request: handle::Request,
+        target: Target,
+        actions: &mut Vec<action::Action>,
+    ) {
+        let Some(pending) = self.requests.get(&request) else {
+            return;
+        };
+        let priority = pending.arrival.priority;
+        self.record_retry(now, priority);
+        self.send_to(now, request, target, actions);
+        if let Some(pending) = self.requests.get_mut(&request) {
+            pending.hedge = pending.attempts.last().copied();
+        }
+    }
+
+    /// Records that an attempt sends the body of its request, so that the request is not hedged.
+    pub(super) fn record_body_taken(&mut self, attempt: handle::Attempt) {
+        let in_flight = self.in_flight.get(&attempt).map(|sent| sent.request);
+        let request = in_flight.or_else(|| self.relays.request_of(attempt));
+        if let Some(pending) = request.and_then(|request| self.requests.get_mut(&request)) {
+            pending.body_holder = Some(attempt);
         }
     }
 }
--- a/crates/policy/tests/balancer/retry.rs
+++ b/crates/policy/tests/balancer/retry.rs
@@ -166,6 +166,36 @@
     assert!(loser_actions.is_empty() && winner_actions.is_empty());
 }
 
+/// Guards against hedges that could only be sent without the body (UNASKED).
+#[test]
+fn a_request_whose_only_body_an_attempt_has_is_not_hedged() {
+    let mut harness = fixture::harness(4, 2);
+    harness.establish_baseline(60, 10 * MS);
+    let first = fixture::sends(&harness.arrive())[0];
+    harness.handle(event::Event::BodyTaken(first.attempt));
+
+    harness.advance(200 * MS);
+    let actions = harness.tick();
+
+    assert!(fixture::sends(&actions).is_empty());
+}
+
+/// Guards against a hedge that found the body taken and ends the request or is retried.
+#[test]
+fn a_hedge_that_cannot_have_the_body_leaves_the_first_attempt_alone() {
+    let mut harness = fixture::harness(4, 2);
+    harness.establish_baseline(60, 10 * MS);
+    let first = fixture::sends(&harness.arrive())[0];
+    harness.advance(200 * MS);
+    let hedge = fixture::sends(&harness.tick())[0];
+    harness.handle(event::Event::BodyTaken(first.attempt));
+
+    let actions = harness.finish(hedge.attempt, outcome::Outcome::BodyTaken);
+    let answered = harness.answer(first.attempt);
+
+    assert!(actions.is_empty() && answered.is_empty());
+}
+
 #[test]
 fn an_unrepeatable_request_is_never_hedged() {
     let mut harness = fixture::harness(4, 2);
--- a/crates/policy/tests/selector/budget.rs
+++ b/crates/policy/tests/selector/budget.rs
@@ -161,3 +161,27 @@
         "{less_urgent}, {urgent_again}"
     );
 }
+
+/// Guards against hedges that are not sent and use up the budget, and against refunds that raise it.
+#[test]
+fn a_refund_allows_one_more_retry_and_no_others() {
+    for requests in [0, 1, 7, 40, 1000] {
+        let mut budget = budget_among(1);
+        (0..requests).for_each(|_| budget.record_request(START));
+        let spend_all = |budget: &mut Budget| {
+            let mut count = 0;
+            while budget.allows_retry(START, 0) {
+                budget.record_retry(START, 0);
+                count += 1;
+            }
+            count
+        };
+        let first = spend_all(&mut budget);
+
+        budget.refund_retry(START);
+        let again = spend_all(&mut budget);
+
+        assert!(first > 0, "{requests} requests");
+        assert_eq!(again, 1, "{requests} requests");
+    }
+}
--- a/crates/policy/tests/selector/main.rs
+++ b/crates/policy/tests/selector/main.rs
@@ -2,6 +2,7 @@
 
 mod admission;
 mod belief;
+mod bodies;
 mod budget;
 mod choice;
 mod coverage;
--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -6,7 +6,7 @@
 use monsooncart_policy::{event, handle, outcome};
 use monsooncart_types::{rate, time};
 
-use crate::{server, service};
+use crate::{payload, server, service};
 
 /// An attempt that the policy waits for; reported as cancelled if it is dropped unfinished.
 pub struct Attempt {
@@ -44,6 +44,14 @@
         });
     }
 
+    /// Reports that the request has the body of which there is only one, if it is streamed.
+    pub fn report_body_taken(&self, request: &http::Request<payload::Payload>) {
+        if let payload::Payload::Streamed { .. } = request.body() {
+            self.service
+                .handle_event(event::Event::BodyTaken(self.attempt));
+        }
+    }
+
     /// Reports that the response head was received.
     pub fn report_head(&self, status: u16) {
         let attempt = self.attempt;
--- a/crates/proxy/src/exchange.rs
+++ b/crates/proxy/src/exchange.rs
@@ -27,7 +27,7 @@
     pub fresh_connection: bool,
     /// Request head without the headers of the attempt.
     pub head: Arc<http::request::Parts>,
-    pub request_body: payload::Source,
+    pub request_body: payload::Access,
     /// Id of the attempt or the caller's request id, which the server echoes.
     pub correlation_id: HeaderValue,
     pub deadlines: deadline::Deadlines,
@@ -117,10 +117,11 @@
     server: &server::Server,
     attempt: &attempt::Attempt,
 ) -> Result<Reply, Failure> {
+    call.check_body()?;
     if let Some(connection) = take_pooled(common, call, server) {
         match exchange_on(common, call, server, attempt, connection).await {
             // The server closed the pooled connection before anything was sent: retry on a new one.
-            Err(failure) if failure.outcome == outcome::Outcome::Unsent && call.revoke_body() => {}
+            Err(failure) if call.may_reconnect(failure) => {}
             result => return result,
         }
     }
@@ -154,7 +155,7 @@
         Some(Ok(response)) => Ok((response, tracker)),
         Some(Err(error)) => Err(classify_send_error(&tracker, call, &error).into()),
         None if tracker.close_gate() => {
-            let phase = deadline::Deadlines::phase_before_head(&call.request_body);
+            let phase = deadline::Deadlines::phase_before_head(call.request_body.source());
             Err(Failure::expired(phase))
         }
         None => Err(outcome::Outcome::Unsent.into()),
@@ -173,7 +174,11 @@
         // It was not known to be leaving when it was chosen.
         return Err(outcome::Outcome::Removed.into());
     }
-    let request = call.build_request(common.host_headers.as_ref(), Some(server));
+    let Some(request) = call.build_request(common.host_headers.as_ref(), Some(server)) else {
+        server.pool.put(connection, common.clock.now());
+        return Err(outcome::Outcome::BodyTaken.into());
+    };
+    attempt.report_body_taken(&request);
     let connected_at = connection.opened_at;
     let (response, mut tracker) = send(call, &mut connection, request).await?;
     attempt.report_response(connected_at);
@@ -189,7 +194,7 @@
         tracker.refused = true;
         // A server that refuses work is loaded; reuse its connection if the exchange is complete. A
         // second copy of a refusal is told apart from the answer to the next request by its id alone.
-        let is_reusable = call.request_body.is_complete()
+        let is_reusable = call.request_body.source().is_complete()
             && rest.is_end_stream()
             && !closes_connection(&head)
             && head.headers.contains_key(echo_header(common));
@@ -314,13 +319,14 @@
 }
 
 impl Call {
-    /// Builds the request for a server, or for a relay if there is none.
+    /// Builds the request for a server, or for a relay if there is none; `None` if another attempt has
+    /// the body.
     fn build_request(
         &self,
         host_headers: Option<&host_routing::HeaderNames>,
         server: Option<&server::Server>,
-    ) -> http::Request<payload::Payload> {
-        let mut request = http::Request::new(self.request_body.payload());
+    ) -> Option<http::Request<payload::Payload>> {
+        let mut request = http::Request::new(self.request_body.payload()?);
         *request.method_mut() = self.head.method.clone();
         *request.uri_mut() = self.head.uri.clone();
         let headers = request.headers_mut();
@@ -341,32 +347,39 @@
                 headers.insert(header::DEADLINE, remaining_millis.into());
             }
         }
-        request
+        Some(request)
+    }
+
+    /// Checks that no other attempt has the body, before a connection is opened for it.
+    fn check_body(&self) -> Result<(), Failure> {
+        match self.request_body.source().is_available() {
+            true => Ok(()),
+            false => Err(outcome::Outcome::BodyTaken.into()),
+        }
     }
 
-    /// Revokes this attempt's access to the body and returns whether the body is still intact.
-    fn revoke_body(&self) -> bool {
-        self.request_body.revoke();
-        self.request_body.is_intact()
+    /// Whether an exchange that failed on a pooled connection may be repeated on a new one.
+    fn may_reconnect(&self, failure: Failure) -> bool {
+        failure.outcome == outcome::Outcome::Unsent && self.request_body.revoke()
     }
 
     /// Revokes this attempt's access to the body, and returns whether the request may be sent again
     /// and its body can still be sent from the beginning.
     pub fn is_replayable(&self) -> bool {
         let may_repeat = self.repeatable || !self.possibly_sent.load(Ordering::Acquire);
-        may_repeat && self.revoke_body()
+        may_repeat && self.request_body.revoke()
     }
 }
 
 async fn wait_for_head<F: Future>(sending: F, call: &Call) -> Option<F::Output> {
     tokio::pin!(sending);
     loop {
-        let deadline = call.deadlines.response_head(&call.request_body);
+        let deadline = call.deadlines.response_head(call.request_body.source());
         if let Ok(result) = timeout_at(deadline, sending.as_mut()).await {
             return Some(result);
         }
         // Sending a streamed body moves the deadline.
-        if call.deadlines.response_head(&call.request_body) <= Instant::now() {
+        if call.deadlines.response_head(call.request_body.source()) <= Instant::now() {
             return None;
         }
     }
@@ -380,7 +393,7 @@
     if !tracker.close_gate() {
         return outcome::Outcome::Unsent;
     }
-    if call.request_body.fault().is_some() {
+    if call.request_body.source().fault().is_some() {
         return outcome::Outcome::Cancelled;
     }
     classify_error(error.error())
--- a/crates/proxy/src/exchange/relayed.rs
+++ b/crates/proxy/src/exchange/relayed.rs
@@ -25,11 +25,12 @@
     max_attempts: u32,
     attempt: &attempt::Attempt,
 ) -> Result<Reply, Failure> {
+    call.check_body()?;
     let now = common.clock.now();
     if let Some(connection) = peer.pool.take(now, common.pool.idle_timeout) {
         match exchange_on(common, call, peer, max_attempts, attempt, connection).await {
             // The relay closed the pooled connection before anything was sent: retry on a new one.
-            Err(failure) if failure.outcome == outcome::Outcome::Unsent && call.revoke_body() => {}
+            Err(failure) if call.may_reconnect(failure) => {}
             result => return result,
         }
     }
@@ -66,7 +67,11 @@
     attempt: &attempt::Attempt,
     mut connection: link::Connection,
 ) -> Result<Reply, Failure> {
-    let mut request = call.build_request(common.host_headers.as_ref(), None);
+    let Some(mut request) = call.build_request(common.host_headers.as_ref(), None) else {
+        peer.pool.put(connection, common.clock.now());
+        return Err(outcome::Outcome::BodyTaken.into());
+    };
+    attempt.report_body_taken(&request);
     request
         .headers_mut()
         .insert(relay::HEADER, max_attempts.into());
@@ -108,5 +113,5 @@
 
 /// Whether neither side has more of its body to send.
 fn is_complete(call: &Call, rest: &Incoming) -> bool {
-    call.request_body.is_complete() && rest.is_end_stream()
+    call.request_body.source().is_complete() && rest.is_end_stream()
 }
--- a/crates/proxy/src/metrics.rs
+++ b/crates/proxy/src/metrics.rs
@@ -220,6 +220,7 @@
         outcome::Outcome::Misdirected => "misdirected",
         outcome::Outcome::Unsent => "unsent",
         outcome::Outcome::Removed => "removed",
+        outcome::Outcome::BodyTaken => "body-taken",
         outcome::Outcome::Broken => "broken",
         outcome::Outcome::Timeout => "timeout",
         outcome::Outcome::Garbled => "garbled",
--- a/crates/proxy/src/pass.rs
+++ b/crates/proxy/src/pass.rs
@@ -194,7 +194,7 @@
         exchange::Call {
             fresh_connection,
             head: self.head.clone(),
-            request_body: self.request_body.clone(),
+            request_body: payload::Access::new(self.request_body.clone()),
             correlation_id: self
                 .caller_request_id
                 .clone()
@@ -230,6 +230,7 @@
                     if retries_errors && is_retryable_error(&reply) {
                         Err(withhold_error(reply, reporter, &call))
                     } else {
+                        call.request_body.keep();
                         Ok((reply, reporter))
                     }
                 }
--- a/crates/proxy/src/pass/relayed.rs
+++ b/crates/proxy/src/pass/relayed.rs
@@ -32,6 +32,7 @@
                     if repeatable && is_retryable_error(&reply) {
                         Err(withhold_error(reply, reporter, &call))
                     } else {
+                        call.request_body.keep();
                         Ok((reply, reporter))
                     }
                 }
--- a/crates/proxy/src/payload.rs
+++ b/crates/proxy/src/payload.rs
@@ -1,11 +1,16 @@
 //! The request body as it is sent to servers.
 //!
-//! A small body is buffered, so that the request can be retried. A larger one is streamed, and
-//! can be retried only until an attempt reads the first frame. Every attempt reads a streamed body
-//! under a generation number of its own. The number is revoked when the attempt finishes, since its
-//! connection may live a moment longer and must not consume a frame that a later attempt needs.
+//! A small body is buffered, so that the request can be sent several times, also at the same time. A
+//! larger one is streamed, and can be sent only by one attempt at a time, and again only until an attempt
+//! reads the first frame. Every attempt reads a streamed body under a generation number of its own. The
+//! number is revoked when the attempt finishes, since its connection may live a moment longer and must
+//! not consume a frame that a later attempt needs.
+//!
+//! What a policy knows of a body may be out of date when its command is carried out, so the body is
+//! granted or denied here, at the moment at which a request is built.
 
 use std::pin::Pin;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
@@ -43,7 +48,10 @@
     prefix: Option<Bytes>,
     incoming: Incoming,
     consumed: bool,
+    /// Number of the latest attempt that was granted the body.
     generation: u64,
+    /// Whether that attempt still has it.
+    granted: bool,
     completed_at: Option<Instant>,
     fault: Option<Fault>,
     received_bytes: u64,
@@ -79,6 +87,7 @@
                 incoming,
                 consumed: false,
                 generation: 0,
+                granted: false,
                 completed_at: None,
                 fault: None,
                 received_bytes,
@@ -94,11 +103,29 @@
         lock(&self.state).consumed
     }
 
-    /// Revokes the current generation and returns the next one.
-    fn next_generation(&self) -> u64 {
+    /// Whether an attempt can be granted the body.
+    fn is_available(&self) -> bool {
+        lock(&self.state).is_available()
+    }
+
+    /// Grants the body to an attempt and returns its generation; `None` if another one has it or has
+    /// read from it.
+    fn grant(&self) -> Option<u64> {
         let mut state = lock(&self.state);
+        if !state.is_available() {
+            return None;
+        }
         state.generation += 1;
-        state.generation
+        state.granted = true;
+        Some(state.generation)
+    }
+
+    /// Takes the body from the attempt with this generation.
+    fn revoke(&self, generation: u64) {
+        let mut state = lock(&self.state);
+        if state.generation == generation {
+            state.granted = false;
+        }
     }
 
     /// Time at which the end of the body was reached.
@@ -116,12 +143,16 @@
 }
 
 impl State {
+    fn is_available(&self) -> bool {
+        !self.consumed && !self.granted
+    }
+
     fn poll(
         &mut self,
         cx: &mut Context<'_>,
         generation: u64,
     ) -> Poll<Option<Result<Frame<Bytes>, Fault>>> {
-        if generation != self.generation {
+        if generation != self.generation || !self.granted {
             return Poll::Ready(Some(Err(Fault::Revoked)));
         }
         self.consumed = true;
@@ -213,21 +244,11 @@
         }
     }
 
-    /// Revokes the current attempt's access, so that [`Source::is_intact`] can no longer change.
-    pub fn revoke(&self) {
-        if let Self::Streamed(stream) = self {
-            stream.next_generation();
-        }
-    }
-
-    /// Creates the body of the next attempt.
-    pub fn payload(&self) -> Payload {
+    /// Whether an attempt can be granted the body now.
+    pub fn is_available(&self) -> bool {
         match self {
-            Self::Buffered(bytes) => Payload::Buffered(bytes.clone()),
-            Self::Streamed(stream) => Payload::Streamed {
-                stream: stream.clone(),
-                generation: stream.next_generation(),
-            },
+            Self::Buffered(_) => true,
+            Self::Streamed(stream) => stream.is_available(),
         }
     }
 
@@ -255,6 +276,66 @@
     }
 }
 
+/// Access of one attempt to the body of its request; it ends when the attempt does, unless a response
+/// was received: a server may read on after that.
+#[derive(Debug)]
+pub struct Access {
+    source: Source,
+    /// Generation under which the body was granted; 0 if it was not.
+    generation: AtomicU64,
+}
+
+impl Access {
+    /// Access that was not granted yet.
+    pub fn new(source: Source) -> Self {
+        Self {
+            source,
+            generation: AtomicU64::new(0),
+        }
+    }
+
+    pub fn source(&self) -> &Source {
+        &self.source
+    }
+
+    /// Returns the body, from its beginning; `None` if another attempt has it or has read from it.
+    pub fn payload(&self) -> Option<Payload> {
+        match &self.source {
+            Source::Buffered(bytes) => Some(Payload::Buffered(bytes.clone())),
+            Source::Streamed(stream) => {
+                let generation = stream.grant()?;
+                self.generation.store(generation, Ordering::Release);
+                Some(Payload::Streamed {
+                    stream: stream.clone(),
+                    generation,
+                })
+            }
+        }
+    }
+
+    /// Ends the access, and returns whether the body can still be sent from its beginning.
+    pub fn revoke(&self) -> bool {
+        let generation = self.generation.swap(0, Ordering::AcqRel);
+        if let Source::Streamed(stream) = &self.source
+            && generation != 0
+        {
+            stream.revoke(generation);
+        }
+        self.source.is_intact()
+    }
+
+    /// Leaves the body to the server that has responded.
+    pub fn keep(&self) {
+        self.generation.store(0, Ordering::Release);
+    }
+}
+
+impl Drop for Access {
+    fn drop(&mut self) {
+        self.revoke();
+    }
+}
+
 /// The body of one attempt.
 #[derive(Debug)]
 pub enum Payload {
--- a/crates/proxy/tests/all/main.rs
+++ b/crates/proxy/tests/all/main.rs
@@ -10,6 +10,7 @@
 mod fakes;
 mod fixture;
 mod scripted;
+mod second_attempts;
 mod slow_callers;
 
 mod accounts;
