proxy: requests of different organisations are different ones

The other tenant's answers cleared the record of the crashes.

Change: the fingerprint begins with the organisation, which a relay knows by the name that it is told.

The new test fails without the organisation.

--- a/crates/proxy/src/request.rs
+++ b/crates/proxy/src/request.rs
@@ -163,7 +163,7 @@
             .service(&service_name)
             .ok_or_else(problem::Problem::unconfigured)?;
         let permit = self.obtain_permit(&options).await?;
-        let hasher = fingerprint::Hasher::new(&request);
+        let hasher = fingerprint::Hasher::new(&options.organisation, &request);
         let (head, incoming) = request.into_parts();
         let mut account = account::Account::new(
             shared.common.clone(),
--- a/crates/proxy/tests/all/host.rs
+++ b/crates/proxy/tests/all/host.rs
@@ -115,7 +115,8 @@
     fixture::start_engine(fixture::bind_listener().await, config, snapshot)
 }
 
-async fn start_with_access(
+/// As [`start_with`], for callers with this access.
+pub async fn start_with_access(
     addresses: &[net::SocketAddr],
     timeout: Duration,
     policies: Arc<dyn interface::Policies>,
--- a/crates/proxy/tests/all/keys.rs
+++ b/crates/proxy/tests/all/keys.rs
@@ -12,7 +12,7 @@
 
 const KEY: &str = "key-of-paper";
 
-fn organisation(name: &str, key: &str) -> access::Organisation {
+pub fn organisation(name: &str, key: &str) -> access::Organisation {
     access::Organisation {
         name: name.parse().unwrap(),
         keys: vec![digest::Digest::of(key.as_bytes())],
@@ -21,7 +21,7 @@
     }
 }
 
-fn keys(organisations: Vec<access::Organisation>) -> access::Access {
+pub fn keys(organisations: Vec<access::Organisation>) -> access::Access {
     access::Access::Keys(organisations)
 }
 
--- a/crates/proxy/tests/all/main.rs
+++ b/crates/proxy/tests/all/main.rs
@@ -8,6 +8,7 @@
 mod early_reports;
 mod endless;
 mod fakes;
+mod fingerprints;
 mod fixture;
 mod scripted;
 mod second_attempts;
