policy: crashes are of runs of servers, and few suffice in small services

Cause: a crash was known by the name of its server and counted once for each, while up to five are asked for. The search over small services found the name in place of the run in the suspicions and in the server that a suspect avoids, crashes that a loss of the path excused, and a count that depended on crashes explained later.

Change: crashes, suspicions and avoidance go by handle::Run, also between daemons. A new run, or a silent server that is removed, shows the end of the run before. From three crashes on a request goes to one server at a time and its breaks count at once.

--- a/crates/daemon/src/fleet.rs
+++ b/crates/daemon/src/fleet.rs
@@ -12,7 +12,7 @@
 use monsooncart_policy::membership::member;
 use monsooncart_policy::{allowance, handle, inventory};
 use monsooncart_proxy::{interface, relay as proxy_relay};
-use monsooncart_types::{id, instance, rate};
+use monsooncart_types::{id, instance, rate, run};
 use monsooncart_wire::update;
 
 use crate::{core, floors};
@@ -86,14 +86,14 @@
         &self,
         service: &id::Service,
         fingerprint: handle::Fingerprint,
-        server: &id::Server,
+        run: &run::Run,
     ) {
         self.publish_urgent(
             service,
             update::Update::Blame {
                 service: service.clone(),
                 fingerprint,
-                server: server.clone(),
+                run: run.clone(),
             },
         );
     }
--- a/crates/daemon/src/rpc.rs
+++ b/crates/daemon/src/rpc.rs
@@ -187,12 +187,9 @@
             update::Update::Blame {
                 service,
                 fingerprint,
-                server,
+                run,
             } => {
-                let crash = report::Report::Crash {
-                    fingerprint,
-                    server,
-                };
+                let crash = report::Report::Crash { fingerprint, run };
                 self.report(&service, crash);
             }
             update::Update::Quarantine {
--- a/crates/policy/src/action.rs
+++ b/crates/policy/src/action.rs
@@ -131,8 +131,8 @@
     ReportCrash {
         /// The request.
         fingerprint: handle::Fingerprint,
-        /// The server that crashed.
-        server: handle::Server,
+        /// The run of a server that crashed.
+        run: handle::Run,
     },
     /// Makes the whole fleet refuse a poison request.
     Quarantine {
--- a/crates/policy/src/balancer.rs
+++ b/crates/policy/src/balancer.rs
@@ -105,10 +105,9 @@
             }
             event::Event::Leaving(server) => self.record_leaving(now, server, actions),
             event::Event::Evidence { from, digests } => self.merge_evidence(now, from, digests),
-            event::Event::CrashReport {
-                fingerprint,
-                server,
-            } => self.record_crash_report(now, fingerprint, server, actions),
+            event::Event::CrashReport { fingerprint, run } => {
+                self.record_crash_report(now, fingerprint, run, actions);
+            }
             event::Event::Quarantine {
                 fingerprint,
                 expires_at,
@@ -116,7 +115,7 @@
                 self.poison.quarantine(now, fingerprint, expires_at);
             }
             event::Event::Acquittal(fingerprint) => {
-                self.poison.acquit(fingerprint);
+                self.poison.record_acquittal(now, fingerprint);
             }
             event::Event::Tick => self.tick(now, actions),
             // The servers of this policy's deployments announce neither. Their retry delay arrives with
--- a/crates/policy/src/balancer/dispatch.rs
+++ b/crates/policy/src/balancer/dispatch.rs
@@ -381,7 +381,8 @@
 
     /// The server that crashed on the fingerprint of a request, if another server is available.
     fn server_to_avoid(&self, pending: &pending::Request) -> Option<handle::Server> {
-        let crashed = self.poison.crashed_server(pending.arrival.fingerprint?)?;
+        let crashed = self.poison.crashed_run(pending.arrival.fingerprint?)?;
+        let crashed = crashed.server;
         let mut excluded = pending.tried_servers.clone();
         excluded.push(crashed);
         (self.best_availability(&excluded) > backend::Availability::Unavailable).then_some(crashed)
@@ -391,7 +392,7 @@
     /// another server crashed on it. This keeps the request from crashing a third server.
     fn required_server(&self, pending: &pending::Request) -> Option<handle::Server> {
         let fingerprint = pending.arrival.fingerprint?;
-        let crashed = self.poison.crashed_server(fingerprint)?;
+        let crashed = self.poison.crashed_run(fingerprint)?.server;
         let runs_fingerprint =
             |f: &&in_flight::Attempt| f.fingerprint == Some(fingerprint) && f.server != crashed;
         self.in_flight
--- a/crates/policy/src/balancer/finish.rs
+++ b/crates/policy/src/balancer/finish.rs
@@ -135,7 +135,9 @@
             self.mean_slot_time = Some(update_mean(self.mean_slot_time, elapsed));
             if let Some(fingerprint) = in_flight.fingerprint
                 && status < MIN_ERROR_STATUS
-                && self.poison.record_answer(now, fingerprint)
+                && self
+                    .poison
+                    .record_answer(now, fingerprint, in_flight.sent_at)
             {
                 actions.push(action::Action::ReportAcquittal(fingerprint));
             }
@@ -190,10 +192,14 @@
             return;
         };
         let server = in_flight.server;
+        let run = handle::Run {
+            server,
+            started_millis: self.backends[index].spec.started_millis,
+        };
         let crashed_another = self
             .poison
-            .crashed_server(fingerprint)
-            .is_some_and(|s| s != server);
+            .crashed_run(fingerprint)
+            .is_some_and(|crashed| crashed.server != server);
         let added = if crashed_another {
             0.0
         } else {
@@ -201,17 +207,14 @@
         };
         let crash = poison::Crash {
             evidence: added,
-            ..poison::Crash::new(server, now)
+            ..poison::Crash::new(run, now)
         };
         if !self.poison.record_crash(fingerprint, crash) {
             return;
         }
         match self.poison.convict_at_once(now, fingerprint) {
             Some(conviction) => self.quarantine_poison(fingerprint, &conviction, actions),
-            None => actions.push(action::Action::ReportCrash {
-                fingerprint,
-                server,
-            }),
+            None => actions.push(action::Action::ReportCrash { fingerprint, run }),
         }
     }
 
@@ -221,10 +224,10 @@
         &mut self,
         now: time::Time,
         fingerprint: handle::Fingerprint,
-        server: handle::Server,
+        run: handle::Run,
         actions: &mut Vec<action::Action>,
     ) {
-        let crash = poison::Crash::new(server, now);
+        let crash = poison::Crash::new(run, now);
         self.poison.record_crash(fingerprint, crash);
         if let Some(conviction) = self.poison.convict_at_once(now, fingerprint) {
             self.quarantine_poison(fingerprint, &conviction, actions);
--- a/crates/policy/src/event.rs
+++ b/crates/policy/src/event.rs
@@ -195,8 +195,8 @@
     CrashReport {
         /// The request.
         fingerprint: handle::Fingerprint,
-        /// The server that crashed.
-        server: handle::Server,
+        /// The run of a server that crashed.
+        run: handle::Run,
     },
     /// A request is quarantined across the fleet.
     Quarantine {
--- a/crates/policy/src/handle.rs
+++ b/crates/policy/src/handle.rs
@@ -6,6 +6,15 @@
 )]
 pub struct Server(pub u32);
 
+/// A run of a server, which a crash ends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Run {
+    /// The server.
+    pub server: Server,
+    /// Start of the run, in milliseconds since 1970; 0 if the server doesn't tell its runs apart.
+    pub started_millis: u64,
+}
+
 /// An organisation.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct Organisation(pub u32);
--- a/crates/policy/src/path.rs
+++ b/crates/policy/src/path.rs
@@ -111,11 +111,10 @@
         !self.is_lost() && self.proven_at >= at
     }
 
-    /// Whether a confirmed loss of the path, which is over, may have broken an attempt that was sent at
-    /// `sent_at`.
+    /// When a confirmed loss of the path ended that may have broken an attempt which was sent at `sent_at`.
     #[must_use]
-    pub fn was_lost_after(&self, sent_at: time::Time) -> bool {
-        sent_at < self.regained_at
+    pub fn regained_after(&self, sent_at: time::Time) -> Option<time::Time> {
+        (sent_at < self.regained_at).then_some(self.regained_at)
     }
 
     /// Records a response on a connection that was opened at `opened_at`. Returns the failures before
--- a/crates/policy/src/poison.rs
+++ b/crates/policy/src/poison.rs
@@ -53,6 +53,12 @@
 /// Minimum and maximum number of crashes for a quarantine.
 const REQUIRED_CRASHES: [usize; 2] = [2, 5];
 
+/// Maximum time by which one report between daemons may be later than another.
+const MAX_REPORT_TIME: Duration = Duration::from_millis(200);
+
+/// Number of crashes from which a request is sent to one server at a time only, where its end decides.
+const GRAVE_CRASHES: usize = 3;
+
 /// A request that was found to be poison.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Conviction {
@@ -64,6 +70,8 @@
 }
 
 struct Quarantine {
+    /// When the latest crash that led to it was recorded.
+    crashed_at: time::Time,
     expires_at: time::Time,
     duration: Duration,
 }
@@ -103,14 +111,39 @@
         self.records.contains_key(&fingerprint) || self.quarantines.contains_key(&fingerprint)
     }
 
-    /// The server that crashed last on a request, if any.
+    /// Whether a request is a suspect of so many crashes that few more servers may get it.
+    #[must_use]
+    pub fn is_grave(&self, fingerprint: handle::Fingerprint) -> bool {
+        let record = self.records.get(&fingerprint);
+        let record = record.filter(|_| !fingerprint.is_of_head());
+        record.is_some_and(|record| record.apart_count(self.answer_time) >= GRAVE_CRASHES)
+    }
+
+    /// Returns the run that an attempt at `run` ended with whose request is a grave suspect: a run that is
+    /// not known yet, if this one had ended before.
     #[must_use]
-    pub fn crashed_server(&self, fingerprint: handle::Fingerprint) -> Option<handle::Server> {
+    pub fn next_run(&self, fingerprint: handle::Fingerprint, run: handle::Run) -> handle::Run {
+        let record = self.records.get(&fingerprint);
+        let crashes = record.map_or(&[][..], |record| &record.crashes);
+        let of_server = crashes.iter().filter(|c| c.run.server == run.server);
+        let latest = of_server.map(|c| c.run.started_millis).max();
+        match latest {
+            Some(latest) if latest >= run.started_millis => handle::Run {
+                started_millis: latest + 1,
+                ..run
+            },
+            _ => run,
+        }
+    }
+
+    /// The run of a server that crashed last on a request, if any.
+    #[must_use]
+    pub fn crashed_run(&self, fingerprint: handle::Fingerprint) -> Option<handle::Run> {
         if fingerprint.is_of_head() {
             return None;
         }
         let last = self.records.get(&fingerprint)?.crashes.last()?;
-        Some(last.server)
+        Some(last.run)
     }
 
     /// Records that an attempt broke its connection as its server crashed. Returns whether the crash counts
@@ -123,7 +156,7 @@
             record::make_room(&mut self.records, MAX_FINGERPRINTS);
         }
         let record = self.records.entry(fingerprint).or_default();
-        record.record(self.answer_time, crash)
+        record.record(crash)
     }
 
     /// Quarantines a request without awaiting what other daemons know of its crashes, if that can hardly
@@ -151,7 +184,7 @@
         let known = self.quarantines.get(&fingerprint);
         let known = known.filter(|known| known.is_remembered(now));
         let required = self.required_crashes(now, fingerprint);
-        let count = record.apart_count();
+        let count = record.apart_count(self.answer_time);
         let is_certain = count >= REQUIRED_CRASHES[1];
         let is_enough =
             count >= required && (is_certain || self.is_first_suspect(fingerprint, record));
@@ -161,15 +194,24 @@
         let duration = known.map_or(FIRST_QUARANTINE, |q| q.duration * QUARANTINE_GROWTH);
         let duration = duration.min(MAX_QUARANTINE);
         let record = self.records.remove(&fingerprint)?;
-        self.records.retain(|suspect, other| {
-            suspect.is_of_head() || other.explain(&record) || !other.crashes.is_empty()
-        });
-        self.insert_quarantine(fingerprint, now + duration, duration);
+        self.explain_crashes(&record);
+        self.insert_quarantine(record.last_at(), fingerprint, now + duration, duration);
         let before = record.crashes.iter().rev().skip(1).rev();
-        let evidence = before.map(|crash| (crash.server, crash.evidence)).collect();
+        let evidence = before
+            .map(|crash| (crash.run.server, crash.evidence))
+            .collect();
         Some(Conviction { duration, evidence })
     }
 
+    /// Removes the crashes of a poison request from the records of the other suspects.
+    fn explain_crashes(&mut self, poison: &record::Record) {
+        let answer_time = self.answer_time;
+        self.records.retain(|suspect, other| {
+            let is_grave = other.apart_count(answer_time) >= GRAVE_CRASHES;
+            suspect.is_of_head() || is_grave || other.explain(poison)
+        });
+    }
+
     /// Whether no other suspect of its last crash was a suspect of as many.
     fn is_first_suspect(&self, fingerprint: handle::Fingerprint, record: &record::Record) -> bool {
         let Some(last) = record.crashes.last() else {
@@ -193,20 +235,58 @@
         required.clamp(REQUIRED_CRASHES[0], REQUIRED_CRASHES[1])
     }
 
-    /// Records that an attempt was answered, which clears the record of its request. Returns whether
-    /// there was one.
-    pub fn record_answer(&mut self, now: time::Time, fingerprint: handle::Fingerprint) -> bool {
+    /// Records that an attempt was answered which was sent at `sent_at`. Returns whether its request is no
+    /// longer a suspect, and was one.
+    ///
+    /// What was sent before the latest of many crashes may have been answered as the request did not crash
+    /// servers yet, and clears nothing.
+    pub fn record_answer(
+        &mut self,
+        now: time::Time,
+        fingerprint: handle::Fingerprint,
+        sent_at: time::Time,
+    ) -> bool {
         self.exposure.record_answered(now);
-        self.acquit(fingerprint)
+        let before = if self.is_grave(fingerprint) {
+            sent_at
+        } else {
+            now
+        };
+        self.acquit(fingerprint, before, sent_at)
     }
 
-    /// Clears the record of a request, which a server answered. Returns whether there was one.
-    pub fn acquit(&mut self, fingerprint: handle::Fingerprint) -> bool {
+    /// Records that another daemon has acquitted a request. The report may be older than the latest crash
+    /// that is known here.
+    pub fn record_acquittal(&mut self, now: time::Time, fingerprint: handle::Fingerprint) {
+        let before = time::Time::ZERO + now.since(time::Time::ZERO + MAX_REPORT_TIME);
+        self.acquit(fingerprint, before, before);
+    }
+
+    /// Clears a request of the crashes before `before`, and of a quarantine for crashes before `sent_at`.
+    /// Returns whether it is no longer a suspect, and was one.
+    fn acquit(
+        &mut self,
+        fingerprint: handle::Fingerprint,
+        before: time::Time,
+        sent_at: time::Time,
+    ) -> bool {
         if fingerprint.is_of_head() {
             return false;
         }
-        let was_suspect = self.records.remove(&fingerprint).is_some();
-        self.quarantines.remove(&fingerprint).is_some() || was_suspect
+        let mut was_suspect = false;
+        if let Some(record) = self.records.get_mut(&fingerprint) {
+            if record.acquit(before) {
+                return false;
+            }
+            self.records.remove(&fingerprint);
+            was_suspect = true;
+        }
+        let quarantine = self.quarantines.get(&fingerprint);
+        if quarantine.is_some_and(|quarantine| quarantine.crashed_at <= sent_at) {
+            self.quarantines.remove(&fingerprint);
+            was_suspect = true;
+        }
+        was_suspect
     }
 
     /// Sets the time that an answer takes.
@@ -231,14 +311,20 @@
             .get(&fingerprint)
             .is_none_or(|known| known.expires_at < expires_at);
         if !fingerprint.is_of_head() && is_longer {
-            self.records.remove(&fingerprint);
-            self.insert_quarantine(fingerprint, expires_at, expires_at.since(now));
+            let record = self.records.remove(&fingerprint);
+            let crashed_at = record.as_ref().map_or(now, record::Record::last_at);
+            if let Some(record) = record {
+                self.explain_crashes(&record);
+            }
+            let duration = expires_at.since(now);
+            self.insert_quarantine(crashed_at, fingerprint, expires_at, duration);
         }
     }
 
     /// Inserts a quarantine; if there are too many, the one that expires first goes.
     fn insert_quarantine(
         &mut self,
+        crashed_at: time::Time,
         fingerprint: handle::Fingerprint,
         expires_at: time::Time,
         duration: Duration,
@@ -251,6 +337,7 @@
             }
         }
         let quarantine = Quarantine {
+            crashed_at,
             expires_at,
             duration,
         };
--- a/crates/policy/src/poison/record.rs
+++ b/crates/policy/src/poison/record.rs
@@ -6,42 +6,40 @@
 
 use crate::handle;
 
-/// Time within which crashes of one server are the same: daemons learn of it at different moments.
+/// Time within which crashes of a server whose runs aren't told apart are the same: daemons learn of it at
+/// different moments.
 const SAME_CRASH_TIME: Duration = Duration::from_secs(2);
 
-/// A crash of a server.
+/// A crash of a server, which ends its run.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Crash {
-    /// The server.
-    pub server: handle::Server,
+    /// The run that ended.
+    pub run: handle::Run,
     /// When it was recorded.
     pub at: time::Time,
     /// Evidence that it added against the server.
     pub evidence: f64,
-    /// Whether an attempt had the time to be answered since the crash that counts before it.
-    pub is_apart: bool,
 }
 
 impl Crash {
     /// A crash that adds no evidence against its server.
     #[must_use]
-    pub fn new(server: handle::Server, at: time::Time) -> Self {
+    pub fn new(run: handle::Run, at: time::Time) -> Self {
         Self {
-            server,
+            run,
             at,
             evidence: 0.0,
-            is_apart: false,
         }
     }
 
     /// Whether two records are of the same crash.
     pub fn is_same(&self, other: &Self) -> bool {
         let apart = self.at.since(other.at).max(other.at.since(self.at));
-        self.server == other.server && apart < SAME_CRASH_TIME
+        self.run == other.run && (self.run.started_millis != 0 || apart < SAME_CRASH_TIME)
     }
 }
 
-/// The crashes of which a request is a suspect since it was last answered; one of each server.
+/// The crashes of which a request is a suspect since it was last answered; one of each run.
 #[derive(Debug, Default)]
 pub struct Record {
     /// The crashes, the latest one last.
@@ -49,23 +47,37 @@
 }
 
 impl Record {
-    /// Records a crash; returns whether it counts. One of a server that crashed before does not, as that
-    /// may be the cause itself. An answer takes `answer_time`.
-    pub fn record(&mut self, answer_time: Duration, crash: Crash) -> bool {
-        let known = self.crashes.iter_mut().find(|c| c.server == crash.server);
+    /// Records a crash; returns whether it counts. One of a run that crashed before does not, as it was
+    /// known.
+    pub fn record(&mut self, crash: Crash) -> bool {
+        let known = self.crashes.iter_mut().find(|c| c.run == crash.run);
         if let Some(known) = known {
             known.evidence += crash.evidence;
             return false;
         }
-        let apart = self.crashes.iter().rfind(|c| c.is_apart);
-        let is_apart = apart.is_none_or(|last| crash.at.since(last.at) >= answer_time);
-        self.crashes.push(Crash { is_apart, ..crash });
+        let later = self.crashes.partition_point(|c| c.at <= crash.at);
+        self.crashes.insert(later, crash);
         true
     }
 
-    /// Number of crashes with enough time between them that the request could have been answered.
-    pub fn apart_count(&self) -> usize {
-        self.crashes.iter().filter(|crash| crash.is_apart).count()
+    /// Number of crashes with enough time between them that the request could have been answered, which
+    /// takes `answer_time`.
+    pub fn apart_count(&self, answer_time: Duration) -> usize {
+        let mut last: Option<time::Time> = None;
+        let mut count = 0;
+        for crash in &self.crashes {
+            if last.is_none_or(|last| crash.at.since(last) >= answer_time) {
+                last = Some(crash.at);
+                count += 1;
+            }
+        }
+        count
+    }
+
+    /// Removes the crashes before `at`; returns whether any are left.
+    pub fn acquit(&mut self, at: time::Time) -> bool {
+        self.crashes.retain(|crash| crash.at > at);
+        !self.crashes.is_empty()
     }
 
     /// Removes the crashes that a poison request with as many of them explains; returns whether any are
--- a/crates/policy/src/selector.rs
+++ b/crates/policy/src/selector.rs
@@ -140,7 +140,7 @@
 impl Selector {
     fn apply(&mut self, now: time::Time, event: event::Event, actions: &mut Vec<action::Action>) {
         match event {
-            event::Event::Inventory(inventory) => self.apply_inventory(now, inventory),
+            event::Event::Inventory(inventory) => self.apply_inventory(now, inventory, actions),
             event::Event::Arrive(arrival) => self.admit(now, arrival, actions),
             event::Event::Identified {
                 request,
@@ -197,10 +197,9 @@
                     self.merge_evidence(now, from, &digests, actions);
                 }
             }
-            event::Event::CrashReport {
-                fingerprint,
-                server,
-            } => self.record_crash_report(now, fingerprint, server),
+            event::Event::CrashReport { fingerprint, run } => {
+                self.record_crash_report(now, fingerprint, run);
+            }
             event::Event::Quarantine {
                 fingerprint,
                 expires_at,
@@ -208,7 +207,7 @@
                 self.poison.quarantine(now, fingerprint, expires_at);
             }
             event::Event::Acquittal(fingerprint) => {
-                self.poison.acquit(fingerprint);
+                self.poison.record_acquittal(now, fingerprint);
             }
             event::Event::CrashProbe {
                 server,
@@ -246,7 +245,12 @@
     }
 
     /// Applies a new configuration; evidence about a server is kept until the server restarts.
-    fn apply_inventory(&mut self, now: time::Time, inventory: inventory::Inventory) {
+    fn apply_inventory(
+        &mut self,
+        now: time::Time,
+        inventory: inventory::Inventory,
+        actions: &mut Vec<action::Action>,
+    ) {
         self.latency_objective = inventory.latency_objective;
         self.fleet.daemons = inventory.daemons;
         let is_member = self.fleet.daemons.is_empty() || self.fleet.is_member();
@@ -260,6 +264,7 @@
             .drain(..)
             .map(|server| (server.spec.handle, server))
             .collect();
+        self.attribute_ended_runs(&inventory.servers, actions);
         for spec in inventory.servers {
             let removed = self.removed_servers.remove(&spec.handle);
             let readded = removed.map(|(_, server)| server.readded());
@@ -320,6 +325,12 @@
             return;
         }
         let pending = pending::Request::new(now, arrival);
+        if let Some(fingerprint) = arrival.fingerprint
+            && self.poison.is_grave(fingerprint)
+        {
+            self.admit_grave(now, fingerprint, pending, actions);
+            return;
+        }
         // Those that wait go before it, unless it costs more to let it wait.
         let target = match self.queue.is_empty() {
             true => self.select_target(now, &pending),
--- a/crates/policy/src/selector/admission.rs
+++ b/crates/policy/src/selector/admission.rs
@@ -91,6 +91,44 @@
         }
     }
 
+    /// Sends a request that is a suspect of many crashes to one server, if none has it yet; refuses it
+    /// otherwise. It would be sent the moment at which a server that crashed is back.
+    pub(super) fn admit_grave(
+        &mut self,
+        now: time::Time,
+        fingerprint: handle::Fingerprint,
+        mut pending: pending::Request,
+        actions: &mut Vec<action::Action>,
+    ) {
+        pending.arrival.max_attempts = 1;
+        let request = pending.arrival.request;
+        let mut others = self.in_flight.values();
+        let is_tried = others.any(|a| a.fingerprint == Some(fingerprint) && !a.cancelled);
+        let target = match is_tried {
+            true => None,
+            false => self.select_target(now, &pending),
+        };
+        self.requests.insert(request, pending);
+        match target {
+            Some(target) => self.send_to(now, request, target, actions),
+            None => self.refuse(now, request, outcome::Reason::Overload, actions),
+        }
+    }
+
+    /// Whether a request that waits was quarantined meanwhile.
+    fn is_poison(&self, now: time::Time, request: handle::Request) -> bool {
+        let pending = self.requests.get(&request);
+        let fingerprint = pending.and_then(|p| p.arrival.fingerprint);
+        fingerprint.is_some_and(|f| self.poison.quarantined_until(now, f).is_some())
+    }
+
+    /// Whether a request that waits became a suspect of many crashes meanwhile.
+    fn is_grave(&self, request: handle::Request) -> bool {
+        let pending = self.requests.get(&request);
+        let fingerprint = pending.and_then(|p| p.arrival.fingerprint);
+        fingerprint.is_some_and(|f| self.poison.is_grave(f))
+    }
+
     /// Sends the requests that wait while there is room, and refuses those that can no longer be served
     /// in their time.
     pub(super) fn serve_queue(&mut self, now: time::Time, actions: &mut Vec<action::Action>) {
@@ -102,6 +140,10 @@
         }
         while let Some((request, target)) = self.next_from_queue(now) {
             self.queue.take(request);
+            if self.is_grave(request) || self.is_poison(now, request) {
+                self.refuse(now, request, outcome::Reason::Overload, actions);
+                continue;
+            }
             let pending = self.requests.get(&request);
             if let Some(retried) = pending.filter(|p| !p.tried_servers.is_empty()) {
                 let priority = retried.arrival.priority;
--- a/crates/policy/src/selector/choice.rs
+++ b/crates/policy/src/selector/choice.rs
@@ -128,16 +128,14 @@
     /// Index and cost of each server that the request may be sent to.
     fn costs(&self, now: time::Time, pending: &pending::Request) -> Vec<(usize, cost::Cost)> {
         let arrival = &pending.arrival;
-        let crashed = arrival
-            .fingerprint
-            .and_then(|f| self.poison.crashed_server(f));
+        let crashed = arrival.fingerprint.and_then(|f| self.poison.crashed_run(f));
         let profile = self.request_profile(arrival);
         let servers = self.servers.iter().enumerate();
         let eligible = servers.filter(|(_, server)| {
             let handle = server.spec.handle;
             !pending.tried_servers.contains(&handle)
                 && !pending.unreachable_servers.contains(&handle)
-                && crashed != Some(handle)
+                && crashed != Some(server.run())
         });
         let max_risk = self.max_risk(now, pending);
         let costs = eligible.filter_map(|(index, s)| s.cost(now, &profile).map(|c| (index, c)));
--- a/crates/policy/src/selector/evidence.rs
+++ b/crates/policy/src/selector/evidence.rs
@@ -53,7 +53,7 @@
                 self.record_work(in_flight.route, latency);
             }
             if let Some(fingerprint) = in_flight.fingerprint {
-                self.record_poison_answer(now, fingerprint, status, actions);
+                self.record_poison_answer(now, fingerprint, in_flight.sent_at, status, actions);
             }
         }
         let server = self.server_mut(in_flight.server);
--- a/crates/policy/src/selector/in_flight.rs
+++ b/crates/policy/src/selector/in_flight.rs
@@ -28,3 +28,13 @@
     /// Fingerprint of the request.
     pub fingerprint: Option<handle::Fingerprint>,
 }
+
+impl Attempt {
+    /// The run of the server that the attempt was sent to.
+    pub fn run(&self) -> handle::Run {
+        handle::Run {
+            server: self.server,
+            started_millis: self.started_millis,
+        }
+    }
+}
--- a/crates/policy/src/selector/server.rs
+++ b/crates/policy/src/selector/server.rs
@@ -123,6 +123,14 @@
 };
 
 impl Server {
+    /// The current run.
+    pub fn run(&self) -> handle::Run {
+        handle::Run {
+            server: self.spec.handle,
+            started_millis: self.spec.started_millis,
+        }
+    }
+
     /// Creates a server without evidence; its turn depends on the daemon.
     pub fn new(now: time::Time, spec: inventory::Server, daemon: instance::Instance) -> Self {
         let turn = coverage::turn(daemon, &spec.name);
--- a/crates/policy/tests/selector/outcomes.rs
+++ b/crates/policy/tests/selector/outcomes.rs
@@ -163,7 +163,10 @@
     for server in 0..3 {
         harness.handle(event::Event::CrashReport {
             fingerprint: head,
-            server: handle::Server(server),
+            run: handle::Run {
+                server: handle::Server(server),
+                started_millis: 1,
+            },
         });
     }
     harness.handle(event::Event::Quarantine {
--- a/crates/proxy/src/interface.rs
+++ b/crates/proxy/src/interface.rs
@@ -8,7 +8,7 @@
 use monsooncart_config::routing::access;
 use monsooncart_policy::claims::{claim, ticket};
 use monsooncart_policy::{allowance, handle, inventory, outcome, service};
-use monsooncart_types::{id, instance, rate};
+use monsooncart_types::{id, instance, rate, run};
 
 use crate::relay;
 
@@ -30,12 +30,7 @@
     fn restore(&self, service: &id::Service, server: &id::Server);
 
     /// Reports to all daemons that a request crashed a server.
-    fn report_crash(
-        &self,
-        service: &id::Service,
-        fingerprint: handle::Fingerprint,
-        server: &id::Server,
-    );
+    fn report_crash(&self, service: &id::Service, fingerprint: handle::Fingerprint, run: &run::Run);
 
     /// Reports to all daemons that a server answered a request which was suspected of crashes.
     fn report_acquittal(&self, service: &id::Service, fingerprint: handle::Fingerprint);
--- a/crates/proxy/src/report.rs
+++ b/crates/proxy/src/report.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use monsooncart_policy::{event, handle};
-use monsooncart_types::{id, instance, rate};
+use monsooncart_types::{id, instance, rate, run};
 
 /// A report about a service.
 #[derive(Clone, Debug, PartialEq, strum::EnumDiscriminants)]
@@ -25,8 +25,8 @@
     Crash {
         /// The request, or its head.
         fingerprint: handle::Fingerprint,
-        /// The server that crashed.
-        server: id::Server,
+        /// The run of a server that crashed.
+        run: run::Run,
     },
     /// A server answered a request that was suspected of crashes.
     Acquittal {
--- a/crates/proxy/src/service.rs
+++ b/crates/proxy/src/service.rs
@@ -240,6 +240,13 @@
         server.map(|server| server.spec.started_millis)
     }
 
+    /// Name of a server, also of one that is no longer configured.
+    pub fn known_name(&self, handle: handle::Server) -> Option<id::Server> {
+        let handles = lock(&self.handles);
+        let mut names = handles.iter().filter(|(_, known)| **known == handle);
+        names.next().map(|(name, _)| name.clone())
+    }
+
     pub fn server_name(&self, handle: handle::Server) -> Option<id::Server> {
         let active_config = self.active_config.load();
         active_config
--- a/crates/proxy/src/service/deferred.rs
+++ b/crates/proxy/src/service/deferred.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use monsooncart_policy::{action, event, handle};
-use monsooncart_types::{id, rate};
+use monsooncart_types::{id, rate, run};
 
 use super::Service;
 use crate::{decision, server};
@@ -32,16 +32,15 @@
                     common.fleet.restore(&self.name, &name);
                 }
             }
-            action::Action::ReportCrash {
-                fingerprint,
-                server,
-            } => {
-                let active_config = self.active_config.load();
-                if let Some(server) = active_config.servers.get(&server) {
-                    log::info!(service:% = self.name, fingerprint = fingerprint.0, server:% = server.spec.name; "poison: server crashed while it ran a request");
-                    common
-                        .fleet
-                        .report_crash(&self.name, fingerprint, &server.spec.name);
+            action::Action::ReportCrash { fingerprint, run } => {
+                if let Some(server) = self.known_name(run.server) {
+                    let started_millis = run.started_millis;
+                    let run = run::Run {
+                        server,
+                        started_millis,
+                    };
+                    log::info!(service:% = self.name, fingerprint = fingerprint.0, server:% = run.server, started_millis; "poison: server crashed while it ran a request");
+                    common.fleet.report_crash(&self.name, fingerprint, &run);
                 }
             }
             action::Action::ReportAcquittal(fingerprint) => {
--- a/crates/proxy/src/service/reports.rs
+++ b/crates/proxy/src/service/reports.rs
@@ -22,15 +22,18 @@
                     expires_at,
                 });
             }
-            report::Report::Crash {
-                fingerprint,
-                server,
-            } => {
-                let server = self.get_or_create_handle(&server);
-                self.handle_event(event::Event::CrashReport {
-                    fingerprint,
+            report::Report::Crash { fingerprint, run } => {
+                let server = self.get_or_create_handle(&run.server);
+                // Daemons of earlier builds don't name the run.
+                let started_millis = match run.started_millis {
+                    0 => self.started_millis(server).unwrap_or_default(),
+                    started_millis => started_millis,
+                };
+                let run = handle::Run {
                     server,
-                });
+                    started_millis,
+                };
+                self.handle_event(event::Event::CrashReport { fingerprint, run });
             }
             report::Report::Acquittal { fingerprint } => {
                 // Without local traffic there is no record to clear.
--- a/crates/proxy/tests/all/early_reports.rs
+++ b/crates/proxy/tests/all/early_reports.rs
@@ -6,7 +6,7 @@
 use monsooncart_config::service;
 use monsooncart_policy::{event, handle};
 use monsooncart_proxy::report;
-use monsooncart_types::{id, instance};
+use monsooncart_types::{id, instance, run};
 use strum::IntoEnumIterator as _;
 
 use crate::fixture;
@@ -31,7 +31,10 @@
         },
         report::Kind::Crash => report::Report::Crash {
             fingerprint: FINGERPRINT,
-            server,
+            run: run::Run {
+                server,
+                started_millis: 1,
+            },
         },
         report::Kind::Acquittal => report::Report::Acquittal {
             fingerprint: FINGERPRINT,
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod instance;
 pub mod map;
 pub mod rate;
+pub mod run;
 pub mod share;
 pub mod size;
 pub mod span;
--- a/crates/wire/src/update.rs
+++ b/crates/wire/src/update.rs
@@ -7,7 +7,7 @@
 use monsooncart_policy::claims::successor;
 use monsooncart_policy::floor::mark;
 use monsooncart_policy::{allowance, event, handle};
-use monsooncart_types::{id, instance, rate};
+use monsooncart_types::{id, instance, rate, run};
 
 /// A daemon's evidence about one backend server.
 #[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
@@ -44,8 +44,8 @@
         service: id::Service,
         /// Fingerprint of the request.
         fingerprint: handle::Fingerprint,
-        /// The server.
-        server: id::Server,
+        /// The run of the server.
+        run: run::Run,
     },
     /// A poison request is refused by all daemons for a time.
     Quarantine {
--- a/crates/wire/tests/codec.rs
+++ b/crates/wire/tests/codec.rs
@@ -13,7 +13,7 @@
 use monsooncart_policy::claims::successor;
 use monsooncart_policy::handle;
 use monsooncart_policy::membership::{action, event, member, message, protocol, record, timings};
-use monsooncart_types::{instance, time};
+use monsooncart_types::{id, instance, run, time};
 use monsooncart_wire::{
     claims, configuration, datagram, floor, frame, hello, peer, sync, update, usage,
 };
@@ -272,6 +272,14 @@
             service: service(),
             fingerprint: handle::Fingerprint(7),
         },
+        update::Update::Blame {
+            service: service(),
+            fingerprint: handle::Fingerprint(7),
+            run: run::Run {
+                server: "s.r-1".parse().unwrap(),
+                started_millis: 1_780_000_000_000,
+            },
+        },
         update::Update::Ledger {
             service: service(),
             version: 9,
@@ -409,3 +417,38 @@
     assert!(!unsigned.is_authentic(Some(&secret), here));
     assert!(unsigned.is_authentic(None, here));
 }
+
+/// Guards against reports of crashes that daemons of earlier builds can't read, and theirs that this one
+/// can't, while builds run side by side.
+#[test]
+fn runs_of_servers_are_names_of_servers_to_earlier_builds() {
+    let server: id::Server = "i-7f3a.r-1".parse().unwrap();
+    let longest: id::Server = "s".repeat(id::MAX_BYTES).parse().unwrap();
+    let ambiguous: id::Server = "i-7f3a.r1".parse().unwrap();
+    let runs = [
+        (&server, 1_780_000_000_000),
+        (&server, 0),
+        (&ambiguous, 0),
+        (&ambiguous, 5),
+        (&longest, 7),
+    ];
+    for (server, started_millis) in runs {
+        let run = run::Run {
+            server: server.clone(),
+            started_millis,
+        };
+        let bytes = postcard::to_stdvec(&run).unwrap();
+
+        let read_by_earlier: id::Server = postcard::from_bytes(&bytes).unwrap();
+        let read: run::Run = postcard::from_bytes(&bytes).unwrap();
+
+        assert!(read_by_earlier.as_str().starts_with(server.as_str()));
+        assert_eq!(read.server, *server);
+        let is_long = server.as_str().len() == id::MAX_BYTES;
+        let expected = if is_long { 0 } else { started_millis };
+        assert_eq!(read.started_millis, expected);
+    }
+    let of_earlier = postcard::to_stdvec(&server).unwrap();
+    let read: run::Run = postcard::from_bytes(&of_earlier).unwrap();
+    assert_eq!((read.server, read.started_millis), (server, 0));
+}
