proxy: notice callers that leave while their requests wait

Cause: nothing reads from a caller's connection while a streamed body waits, so its end isn't seen; nor while a permit of an allowance is awaited, for any body.

Change: such a body is read ahead, within what is reserved for it and, beyond, half of the bound on all bodies; beyond that the socket is checked for its end. A permit is awaited while the body is received.

--- a/crates/proxy/src/activity.rs
+++ b/crates/proxy/src/activity.rs
@@ -6,10 +6,13 @@
 use std::time::Duration;
 
 use tokio::sync::Notify;
-use tokio::time::Instant;
+use tokio::time::{Instant, sleep};
 
-use crate::common;
 use crate::lock::lock;
+use crate::{common, tcp};
+
+/// Interval at which a connection from which nothing reads is checked for its end.
+const DEPARTURE_POLL_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Beginning of the HTTP/2 connection preface.
 const HTTP2_PREFACE: &[u8] = b"PRI";
@@ -35,11 +38,14 @@
     expired: AtomicBool,
     head_started: Notify,
     times: Mutex<Times>,
+    /// Connection of a caller; absent if another daemon has requests relayed on it.
+    stream: Option<tcp::Stream>,
 }
 
 impl Activity {
-    pub fn new() -> Self {
+    pub fn new(stream: Option<tcp::Stream>) -> Self {
         Self {
+            stream,
             started_requests: AtomicU64::new(0),
             completed_requests: AtomicU64::new(0),
             flushed_requests: AtomicU64::new(0),
@@ -54,6 +60,16 @@
         }
     }
 
+    /// Waits until the caller has closed its connection while nothing reads from it.
+    pub async fn wait_for_departure(&self) {
+        let Some(stream) = &self.stream else {
+            return std::future::pending().await;
+        };
+        while !stream.is_closed_by_peer() {
+            sleep(DEPARTURE_POLL_INTERVAL).await;
+        }
+    }
+
     /// Number of requests started.
     pub fn started_requests(&self) -> u64 {
         self.started_requests.load(Ordering::Acquire)
@@ -160,6 +176,13 @@
     }
 }
 
+impl InFlight {
+    /// The connection of the request.
+    pub fn activity(&self) -> &Activity {
+        &self.activity
+    }
+}
+
 impl Drop for InFlight {
     fn drop(&mut self) {
         lock(&self.activity.times).idle_since = Instant::now();
--- a/crates/proxy/src/engine.rs
+++ b/crates/proxy/src/engine.rs
@@ -19,7 +19,8 @@
 
 use crate::lock::lock;
 use crate::{
-    backlog, common, decision, listener, relay, report, request, router, service, split, trace,
+    activity, backlog, common, decision, listener, relay, report, request, router, service, split,
+    trace,
 };
 
 /// Number of shards that the services are divided into.
@@ -330,7 +331,9 @@
             return std::future::ready(()).boxed();
         }
         let origin = request::Origin::Relay;
-        let serving = listener::serve_connection(self.shared.clone(), stream, origin, |_| ());
+        let activity = activity::Activity::new(None);
+        let shared = self.shared.clone();
+        let serving = listener::serve_connection(shared, stream, activity, origin, |_| ());
         connections.track_future(serving).boxed()
     }
 
--- a/crates/proxy/src/exchange.rs
+++ b/crates/proxy/src/exchange.rs
@@ -194,7 +194,7 @@
         tracker.refused = true;
         // A server that refuses work is loaded; reuse its connection if the exchange is complete. A
         // second copy of a refusal is told apart from the answer to the next request by its id alone.
-        let is_reusable = call.request_body.source().is_complete()
+        let is_reusable = call.request_body.source().is_sent()
             && rest.is_end_stream()
             && !closes_connection(&head)
             && head.headers.contains_key(echo_header(common));
--- a/crates/proxy/src/exchange/relayed.rs
+++ b/crates/proxy/src/exchange/relayed.rs
@@ -113,5 +113,5 @@
 
 /// Whether neither side has more of its body to send.
 fn is_complete(call: &Call, rest: &Incoming) -> bool {
-    call.request_body.source().is_complete() && rest.is_end_stream()
+    call.request_body.source().is_sent() && rest.is_end_stream()
 }
--- a/crates/proxy/src/forwarded.rs
+++ b/crates/proxy/src/forwarded.rs
@@ -118,7 +118,7 @@
             return;
         };
         if let Some(connection) = self.connection.take()
-            && parts.request_body.is_complete()
+            && parts.request_body.is_sent()
         {
             let now = parts.common.clock.now();
             parts.target.pool().put(connection, now);
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -64,3 +64,4 @@
 mod socket;
 mod stall;
 mod target;
+mod tcp;
--- a/crates/proxy/src/listener.rs
+++ b/crates/proxy/src/listener.rs
@@ -14,7 +14,7 @@
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 use tokio_util::task::TaskTracker;
 
-use crate::{activity, caller, engine, expiry, link, request, socket};
+use crate::{activity, caller, engine, expiry, link, request, socket, tcp};
 
 /// Delay after `accept` fails, for example because of too many open files.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
@@ -110,7 +110,7 @@
 }
 
 async fn refuse_connection(stream: TcpStream) {
-    let activity = Arc::new(activity::Activity::new());
+    let activity = Arc::new(activity::Activity::new(None));
     let mut caller = caller::Socket::new(stream, activity, REFUSE_TIMEOUT);
     let response = async {
         let refusal = format!("{REFUSAL_HEAD}{}\r\n\r\n{REFUSAL_BODY}", REFUSAL_BODY.len());
@@ -188,8 +188,11 @@
     if let Err(error) = socket::set_options(&stream, common.limits().body_timeout.0) {
         log::debug!(error:%; "proxy: setting TCP options of a connection failed");
     }
+    let stream = tcp::Stream::new(stream);
+    let activity = activity::Activity::new(Some(stream.clone()));
     let origin = request::Origin::Caller;
-    serve_connection(shared, stream, origin, socket::discard_unsent).await;
+    let discard_unsent = |stream: &tcp::Stream| socket::discard_unsent(stream.socket());
+    serve_connection(shared, stream, activity, origin, discard_unsent).await;
     common.metrics.connections.dec();
     drop(permit);
 }
@@ -199,6 +202,7 @@
 pub async fn serve_connection<S>(
     shared: Arc<engine::Shared>,
     stream: S,
+    activity: activity::Activity,
     origin: request::Origin,
     discard_unsent: fn(&S),
 ) where
@@ -206,7 +210,7 @@
 {
     let common = shared.common.clone();
     let limits = common.limits();
-    let activity = Arc::new(activity::Activity::new());
+    let activity = Arc::new(activity);
     let io = caller::Socket::new(stream, activity.clone(), limits.body_timeout.0);
     let io = io.discard_unsent_with(discard_unsent);
     let service = tower::service_fn({
--- a/crates/proxy/src/memory.rs
+++ b/crates/proxy/src/memory.rs
@@ -93,6 +93,11 @@
 }
 
 impl Reservation {
+    /// Whether more may be held that does not have to be.
+    pub fn has_room(&self) -> bool {
+        self.bound.has_room_for_responses()
+    }
+
     /// Counts further bytes that cannot be refused.
     pub fn grow(&mut self, bytes: u64) {
         self.bound.held_bytes.add(gauge_value(bytes));
--- a/crates/proxy/src/pass.rs
+++ b/crates/proxy/src/pass.rs
@@ -8,7 +8,7 @@
 use futures_util::StreamExt as _;
 use futures_util::future::{AbortHandle, Abortable, BoxFuture};
 use futures_util::stream::FuturesUnordered;
-use http::{HeaderValue, StatusCode, header as names};
+use http::{HeaderValue, header as names};
 use monsooncart_policy::{action, event, handle, outcome};
 use monsooncart_types::{id, map};
 use tokio::time::sleep_until;
@@ -142,6 +142,10 @@
                         };
                     }
                 },
+                fault = self.request_body.read_ahead(self.in_flight.activity()) => {
+                    drop(attempts);
+                    return self.reject_body(fault);
+                }
                 () = common.abandoned.cancelled() => {
                     drop(attempts);
                     return self.abandon(error_reply);
@@ -319,10 +323,7 @@
         {
             self.common.response_sizes.record(key, held_bytes);
         }
-        if reply.is_fully_buffered()
-            && !reply.closes_connection()
-            && self.request_body.is_complete()
-        {
+        if reply.is_fully_buffered() && !reply.closes_connection() && self.request_body.is_sent() {
             let connection = reply.connection.take();
             connection
                 .into_iter()
@@ -408,13 +409,7 @@
 
     /// Rejects a request whose body failed on the caller's side.
     fn reject_body(mut self, fault: payload::Fault) -> http::Response<body::Body> {
-        let (status, title) = match fault {
-            payload::Fault::Limit => (StatusCode::PAYLOAD_TOO_LARGE, "body-too-large"),
-            payload::Fault::Stall => (StatusCode::REQUEST_TIMEOUT, "body-stalled"),
-            payload::Fault::Poison => (StatusCode::SERVICE_UNAVAILABLE, "poison"),
-            payload::Fault::Cut | payload::Fault::Revoked => (StatusCode::BAD_REQUEST, "body-cut"),
-        };
-        let mut problem = problem::Problem::not_run(status, title, fault.to_string());
+        let mut problem = problem::Problem::body(fault);
         problem.execution = self.account.execution();
         if self.common.host_headers.is_some() && problem.execution == outcome::Execution::Unknown {
             problem = problem.with_ambiguous_status();
--- a/crates/proxy/src/payload.rs
+++ b/crates/proxy/src/payload.rs
@@ -6,9 +6,17 @@
 //! number is revoked when the attempt finishes, since its connection may live a moment longer and must
 //! not consume a frame that a later attempt needs.
 //!
+//! While no attempt has a streamed body, some of it is read ahead. Otherwise nothing would read from the
+//! caller's connection, and a caller that leaves while its request waits would not be noticed. What is read
+//! ahead is bounded for each body and, beyond what is reserved for each, for all of them. An end of the
+//! connection behind more than that and what the kernel holds reaches the daemon only when the body is
+//! read on.
+//!
 //! What a policy knows of a body may be out of date when its command is carried out, so the body is
 //! granted or denied here, at the moment at which a request is built.
 
+use std::collections::VecDeque;
+use std::future::poll_fn;
 use std::pin::Pin;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
@@ -21,7 +29,10 @@
 use tokio::time::Instant;
 
 use crate::lock::lock;
-use crate::{screening, stall};
+use crate::{activity, memory, screening, stall};
+
+/// Maximum size of what is read ahead of a body.
+const MAX_AHEAD_BYTES: u64 = 512 << 10;
 
 /// Error in reading a request body.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, derive_more::Display, derive_more::Error)]
@@ -45,7 +56,11 @@
 
 #[derive(Debug)]
 struct State {
-    prefix: Option<Bytes>,
+    /// Frames that were read ahead.
+    ahead: VecDeque<Frame<Bytes>>,
+    ahead_bytes: u64,
+    /// Counts what was read ahead beyond the reservation of a streamed body.
+    ahead_reservation: memory::Reservation,
     incoming: Incoming,
     consumed: bool,
     /// Number of the latest attempt that was granted the body.
@@ -77,13 +92,19 @@
         limit_bytes: u64,
         stall_timeout: Duration,
         screening: Option<screening::Screening>,
+        bound: &Arc<memory::Bound>,
     ) -> Self {
         let rest = incoming.size_hint().exact();
         let received_bytes = prefix.len() as u64;
         Self {
             size: rest.map(|rest| rest + received_bytes),
             state: Mutex::new(State {
-                prefix: (!prefix.is_empty()).then_some(prefix),
+                ahead_bytes: received_bytes,
+                ahead_reservation: bound.hold(0),
+                ahead: (!prefix.is_empty())
+                    .then(|| Frame::data(prefix))
+                    .into_iter()
+                    .collect(),
                 incoming,
                 consumed: false,
                 generation: 0,
@@ -108,6 +129,23 @@
         lock(&self.state).is_available()
     }
 
+    /// Whether no attempt has the body, and not all of it was received.
+    fn awaits_caller(&self) -> bool {
+        let state = lock(&self.state);
+        state.is_available() && state.completed_at.is_none()
+    }
+
+    /// Whether all of the body was sent.
+    fn is_sent(&self) -> bool {
+        lock(&self.state).is_sent()
+    }
+
+    /// Reads ahead while no attempt has the body, and returns the fault on the caller's side if there is
+    /// one.
+    async fn read_ahead(&self) -> Fault {
+        poll_fn(|cx| lock(&self.state).poll_ahead(cx)).await
+    }
+
     /// Grants the body to an attempt and returns its generation; `None` if another one has it or has
     /// read from it.
     fn grant(&self) -> Option<u64> {
@@ -164,10 +202,11 @@
             if let Some(frame) = held.and_then(screening::Screening::pop) {
                 return Poll::Ready(Some(Ok(frame)));
             }
-            if self.screening.is_some() && self.completed_at.is_some() {
+            if self.screening.is_some() && self.is_read_out() {
                 return Poll::Ready(None);
             }
             let frame = ready!(self.poll_received(cx));
+            let is_read_out = self.is_read_out();
             let Some(screening) = &mut self.screening else {
                 return Poll::Ready(frame);
             };
@@ -176,7 +215,7 @@
                 Some(Err(fault)) => return Poll::Ready(Some(Err(fault))),
                 None => {}
             }
-            if self.completed_at.is_some() && !screening.pass() {
+            if is_read_out && !screening.pass() {
                 return Poll::Ready(Some(self.fail(Fault::Poison)));
             }
         }
@@ -184,8 +223,11 @@
 
     /// The next frame from the caller.
     fn poll_received(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, Fault>>> {
-        if let Some(prefix) = self.prefix.take() {
-            return Poll::Ready(Some(Ok(Frame::data(prefix))));
+        if let Some(frame) = self.ahead.pop_front() {
+            let bytes = byte_count(&frame);
+            self.ahead_bytes -= bytes;
+            self.ahead_reservation.shrink(bytes);
+            return Poll::Ready(Some(Ok(frame)));
         }
         let polled = Pin::new(&mut self.incoming).poll_frame(cx);
         let Poll::Ready(frame) = polled else {
@@ -195,7 +237,7 @@
         self.stall.record_progress();
         Poll::Ready(match frame {
             None => {
-                self.completed_at = Some(Instant::now());
+                self.completed_at.get_or_insert_with(Instant::now);
                 None
             }
             Some(Err(_)) => Some(self.fail(Fault::Cut)),
@@ -203,14 +245,48 @@
         })
     }
 
+    fn poll_ahead(&mut self, cx: &mut Context<'_>) -> Poll<Fault> {
+        while self.is_available() && self.completed_at.is_none() {
+            if let Some(fault) = self.fault {
+                return Poll::Ready(fault);
+            }
+            let is_reserved = self.ahead_bytes < memory::STREAM_BYTES;
+            let has_room = self.ahead_bytes < MAX_AHEAD_BYTES && self.ahead_reservation.has_room();
+            if !is_reserved && !has_room {
+                break;
+            }
+            match ready!(Pin::new(&mut self.incoming).poll_frame(cx)) {
+                None => self.completed_at = Some(Instant::now()),
+                Some(Err(_)) => self.fault = Some(Fault::Cut),
+                Some(Ok(frame)) => {
+                    if let Ok(frame) = self.count_frame(frame) {
+                        let bytes = byte_count(&frame);
+                        self.ahead_bytes += bytes;
+                        if !is_reserved {
+                            self.ahead_reservation.grow(bytes);
+                        }
+                        self.ahead.push_back(frame);
+                    }
+                }
+            }
+        }
+        // An attempt that has the body sees a fault itself, and hyper watches the connection of a whole one.
+        Poll::Pending
+    }
+
+    /// Whether the end of the body was reached and nothing that was read ahead is left.
+    fn is_read_out(&self) -> bool {
+        self.completed_at.is_some() && self.ahead.is_empty()
+    }
+
     /// Whether all of the body was sent.
     fn is_sent(&self) -> bool {
         let screening = self.screening.as_ref();
-        self.completed_at.is_some() && screening.is_none_or(screening::Screening::is_empty)
+        self.is_read_out() && screening.is_none_or(screening::Screening::is_empty)
     }
 
     fn count_frame(&mut self, frame: Frame<Bytes>) -> Result<Frame<Bytes>, Fault> {
-        self.received_bytes += frame.data_ref().map_or(0, |data| data.len() as u64);
+        self.received_bytes += byte_count(&frame);
         if self.received_bytes > self.limit_bytes {
             return self.fail(Fault::Limit);
         }
@@ -226,6 +302,10 @@
     }
 }
 
+fn byte_count(frame: &Frame<Bytes>) -> u64 {
+    frame.data_ref().map_or(0, |data| data.len() as u64)
+}
+
 /// Source of the bodies of a request's attempts.
 #[derive(Clone, Debug)]
 pub enum Source {
@@ -252,6 +332,26 @@
         }
     }
 
+    /// Receives some of a body that no attempt has; returns only a fault on the caller's side, who may have
+    /// left.
+    pub async fn read_ahead(&self, activity: &activity::Activity) -> Fault {
+        let Self::Streamed(stream) = self else {
+            return std::future::pending().await;
+        };
+        tokio::select! {
+            fault = stream.read_ahead() => fault,
+            () = activity.wait_for_departure(), if stream.awaits_caller() => Fault::Cut,
+        }
+    }
+
+    /// Whether the whole body was sent to the server that has it.
+    pub fn is_sent(&self) -> bool {
+        match self {
+            Self::Buffered(_) => true,
+            Self::Streamed(stream) => stream.is_sent(),
+        }
+    }
+
     /// Whether the whole body was received from the caller.
     pub fn is_complete(&self) -> bool {
         match self {
@@ -370,7 +470,7 @@
     fn is_end_stream(&self) -> bool {
         match self {
             Self::Buffered(bytes) => bytes.is_empty(),
-            Self::Streamed { stream, .. } => lock(&stream.state).is_sent(),
+            Self::Streamed { stream, .. } => stream.is_sent(),
         }
     }
 
--- a/crates/proxy/src/problem.rs
+++ b/crates/proxy/src/problem.rs
@@ -6,7 +6,7 @@
 use http::{HeaderValue, StatusCode, header as names};
 use monsooncart_policy::outcome;
 
-use crate::{body, exchange, header};
+use crate::{body, exchange, header, payload};
 
 /// Retry delay while the daemon has no configuration.
 const UNCONFIGURED_RETRY_AFTER: Duration = Duration::from_millis(500);
@@ -55,6 +55,17 @@
         }
     }
 
+    /// A request whose body failed on the caller's side.
+    pub fn body(fault: payload::Fault) -> Self {
+        let (status, title) = match fault {
+            payload::Fault::Limit => (StatusCode::PAYLOAD_TOO_LARGE, "body-too-large"),
+            payload::Fault::Stall => (StatusCode::REQUEST_TIMEOUT, "body-stalled"),
+            payload::Fault::Poison => (StatusCode::SERVICE_UNAVAILABLE, "poison"),
+            payload::Fault::Cut | payload::Fault::Revoked => (StatusCode::BAD_REQUEST, "body-cut"),
+        };
+        Self::not_run(status, title, fault.to_string())
+    }
+
     /// Creates the response to a malformed request.
     pub fn malformed(detail: &str) -> Self {
         Self::not_run(StatusCode::BAD_REQUEST, "malformed", detail)
--- a/crates/proxy/src/request.rs
+++ b/crates/proxy/src/request.rs
@@ -6,6 +6,7 @@
 mod outbound;
 mod tickets;
 
+use std::pin::pin;
 use std::sync::Arc;
 
 use bytes::Bytes;
@@ -46,7 +47,7 @@
     let version = request.version();
     let is_head_request = request.method() == Method::HEAD;
     let in_flight = activity::InFlight::new(
-        activity,
+        activity.clone(),
         shared.common.clone(),
         version == http::Version::HTTP_2,
     );
@@ -56,6 +57,7 @@
         host_headers.and_then(|host_headers| request.headers().get(&host_headers.request).cloned());
     let handler = Handler {
         shared: &shared,
+        activity: &activity,
         number,
         origin,
     };
@@ -109,6 +111,8 @@
 /// Context for handling one request.
 struct Handler<'a> {
     shared: &'a Arc<engine::Shared>,
+    /// The connection of the request.
+    activity: &'a activity::Activity,
     number: handle::Request,
     origin: Origin,
 }
@@ -162,21 +166,8 @@
         let service = shared
             .service(&service_name)
             .ok_or_else(problem::Problem::unconfigured)?;
-        let permit = self.obtain_permit(&options).await?;
         let hasher = fingerprint::Hasher::new(&options.organisation, &request);
         let (head, incoming) = request.into_parts();
-        let mut account = account::Account::new(
-            shared.common.clone(),
-            self.number,
-            options.organisation.clone(),
-            service_name.clone(),
-        );
-        if let Some(permit) = permit {
-            account.set_permit(permit);
-        }
-        if let Some(request_id) = &options.caller_request_id {
-            account.set_caller_request_id(request_id.clone(), options.routing_version);
-        }
         let size = incoming.size_hint().exact();
         let may_stream = size.is_none_or(|size| size > inbound_body::MAX_BUFFERED_BYTES);
         let rules = inbound_body::Rules {
@@ -192,13 +183,29 @@
             .must_identify
             .then(|| screening::Screening::new(hasher.clone(), service.clone(), self.number));
         let refusal = shared.common.wait_for_refusal(rules.deadline);
+        let activity = self.activity;
         let bodies = &shared.common.bodies;
         let received = inbound_body::read(bodies, incoming, rules, hasher, screening);
-        let received = tokio::select! {
-            biased;
-            received = received => received,
-            () = refusal => Err(problem::Problem::stopping()),
+        let received = async {
+            tokio::select! {
+                biased;
+                received = received => received,
+                () = refusal => Err(problem::Problem::stopping()),
+            }
         };
+        let (permit, received) = receive(self.obtain_permit(&options), received, activity).await?;
+        let mut account = account::Account::new(
+            shared.common.clone(),
+            self.number,
+            options.organisation.clone(),
+            service_name.clone(),
+        );
+        if let Some(permit) = permit {
+            account.set_permit(permit);
+        }
+        if let Some(request_id) = &options.caller_request_id {
+            account.set_caller_request_id(request_id.clone(), options.routing_version);
+        }
         let (request_body, fingerprint) = match received {
             Ok(received) => {
                 account.hold(received.reservation);
@@ -292,6 +299,39 @@
     }
 }
 
+/// Awaits the permit of a request and receives its body meanwhile, so that a caller that leaves is noticed.
+/// Nothing is received for a request that is refused at once.
+///
+/// # Errors
+///
+/// The response if there is no permit.
+async fn receive(
+    permit: impl Future<Output = Result<Option<permit::Permit>, problem::Problem>>,
+    received: impl Future<Output = Result<inbound_body::Received, problem::Problem>>,
+    activity: &activity::Activity,
+) -> Result<
+    (
+        Option<permit::Permit>,
+        Result<inbound_body::Received, problem::Problem>,
+    ),
+    problem::Problem,
+> {
+    let (mut permit, mut received) = (pin!(permit), pin!(received));
+    let body = tokio::select! {
+        biased;
+        permit = permit.as_mut() => return Ok((permit?, received.await)),
+        body = received.as_mut() => body,
+    };
+    let Ok(body) = body else {
+        return Ok((None, body));
+    };
+    tokio::select! {
+        biased;
+        permit = permit => Ok((permit?, Ok(body))),
+        fault = body.body.read_ahead(activity) => Ok((None, Err(problem::Problem::body(fault)))),
+    }
+}
+
 fn json_response(status: StatusCode, value: &impl serde::Serialize) -> Response {
     let bytes = Bytes::from(serde_json::to_vec(value).unwrap_or_default());
     let mut response = http::Response::new(body::Body::local(bytes));
--- a/crates/proxy/src/request/inbound_body.rs
+++ b/crates/proxy/src/request/inbound_body.rs
@@ -129,6 +129,7 @@
         limit_bytes,
         rules.stall_timeout,
         screening,
+        bound,
     );
     Ok(Received {
         body: payload::Source::Streamed(Arc::new(stream)),
--- a/crates/proxy/tests/all/main.rs
+++ b/crates/proxy/tests/all/main.rs
@@ -5,6 +5,7 @@
     reason = "a fixture that cannot be made fails its test"
 )]
 
+mod departures;
 mod early_reports;
 mod endless;
 mod fakes;
