proxy: hold back removed servers that a backup of the store lists again

Cause: objects of a later epoch are newer than all before, so the old entry outweighed the removal. Only runs that had said that they leave were remembered.

Change: leaving::Runs remembers removals with their run and epoch. Version moves to the types, where the request path can read its epoch.

--- a/crates/proxy/src/common.rs
+++ b/crates/proxy/src/common.rs
@@ -2,6 +2,7 @@
 
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, OnceLock};
+use std::time::Duration;
 
 use arc_swap::ArcSwap;
 use http::HeaderValue;
@@ -157,7 +158,7 @@
     }
 
     /// Maximum time without a TCP acknowledgement on a connection to a server.
-    pub fn ack_timeout(&self) -> std::time::Duration {
+    pub fn ack_timeout(&self) -> Duration {
         self.pool
             .ack_timeout
             .unwrap_or(self.limits().body_timeout.0)
@@ -189,6 +190,32 @@
         lock(&self.leaving_runs).record(server, started_millis)
     }
 
+    /// Records that a run of a server was removed in an epoch of the platform.
+    pub fn record_removed(&self, server: &id::Server, started_millis: u64, epoch: u64) {
+        let now = self.clock.now();
+        lock(&self.leaving_runs).record_removed(now, server, started_millis, epoch);
+    }
+
+    /// Records that a run of a server is listed in an epoch; returns for how long it is held back, if it
+    /// is.
+    pub fn record_listed(
+        &self,
+        server: &id::Server,
+        started_millis: u64,
+        epoch: u64,
+    ) -> Option<Duration> {
+        let now = self.clock.now();
+        let until = lock(&self.leaving_runs).record_listed(now, server, started_millis, epoch)?;
+        Some(until.since(now))
+    }
+
+    /// Whether a run of a server is to get no requests: it is leaving, or held back.
+    pub fn is_withdrawn(&self, server: &id::Server, started_millis: u64) -> bool {
+        let now = self.clock.now();
+        let runs = lock(&self.leaving_runs);
+        runs.contains(server, started_millis) || runs.is_held(now, server, started_millis)
+    }
+
     /// Whether a run of a server is known to be leaving.
     pub fn is_leaving(&self, server: &id::Server, started_millis: u64) -> bool {
         lock(&self.leaving_runs).contains(server, started_millis)
--- a/crates/proxy/src/engine.rs
+++ b/crates/proxy/src/engine.rs
@@ -7,11 +7,11 @@
 use arc_swap::ArcSwap;
 use futures_util::FutureExt as _;
 use futures_util::future::BoxFuture;
-use monsooncart_config::snapshot;
+use monsooncart_config::{object, snapshot};
 use monsooncart_policy::service::View;
 use monsooncart_policy::{event, handle, stop};
 use monsooncart_task as task;
-use monsooncart_types::{id, map};
+use monsooncart_types::{id, map, version};
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
 use tokio::time::{Instant, MissedTickBehavior, interval};
@@ -138,7 +138,7 @@
                 router.remove(current);
             }
             router.insert(spec);
-            self.apply_service(spec);
+            self.apply_service(spec, &snapshot);
             self.apply_waiting_reports(&spec.name);
         }
         for spec in old.services() {
@@ -158,10 +158,18 @@
         log::info!(changed; "config: applied configuration");
     }
 
-    fn apply_service(&self, spec: &Arc<monsooncart_config::service::Service>) {
+    fn apply_service(
+        &self,
+        spec: &Arc<monsooncart_config::service::Service>,
+        snapshot: &snapshot::Snapshot,
+    ) {
         let known = self.shared.service(&spec.name);
         if let Some(service) = known {
-            service.configure(spec);
+            let epoch_of = |server: &id::Server| {
+                let version = snapshot.version(&object::Key::Registration(server.clone()));
+                version::Version(version.unwrap_or_default()).epoch()
+            };
+            service.configure(spec, epoch_of);
             return;
         }
         let shard = self.shared.shard(&spec.name);
--- a/crates/proxy/src/exchange.rs
+++ b/crates/proxy/src/exchange.rs
@@ -170,7 +170,7 @@
     mut connection: link::Connection,
 ) -> Result<Reply, Failure> {
     let spec = &server.spec;
-    if common.is_leaving(&spec.name, spec.started_millis) {
+    if common.is_withdrawn(&spec.name, spec.started_millis) {
         // It was not known to be leaving when it was chosen.
         return Err(outcome::Outcome::Removed.into());
     }
--- a/crates/proxy/src/service.rs
+++ b/crates/proxy/src/service.rs
@@ -10,6 +10,7 @@
 use std::collections::VecDeque;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
+use std::time::Duration;
 
 use arc_swap::ArcSwap;
 use monsooncart_config::{rules, service};
@@ -111,11 +112,58 @@
         service
     }
 
-    /// Applies a new configuration and passes the new inventory to the policy.
-    pub fn configure(self: &Arc<Self>, spec: &Arc<service::Service>) {
+    /// Applies a new configuration and passes the new inventory to the policy. `epoch_of` returns the epoch
+    /// of the platform in which a server was registered or removed.
+    pub fn configure(
+        self: &Arc<Self>,
+        spec: &Arc<service::Service>,
+        epoch_of: impl Fn(&id::Server) -> u64,
+    ) {
         self.removed.store(false, Ordering::Relaxed);
+        let held_for = self.record_removals(spec, epoch_of);
         self.apply_spec(spec);
         self.send_inventory();
+        if let Some(held_for) = held_for {
+            let service = self.clone();
+            tokio::spawn(async move {
+                tokio::time::sleep(held_for).await;
+                service.send_inventory();
+            });
+        }
+    }
+
+    /// Records which servers are removed, and which ones of those are there again; returns for how long any
+    /// of these are held back.
+    fn record_removals(
+        &self,
+        spec: &service::Service,
+        epoch_of: impl Fn(&id::Server) -> u64,
+    ) -> Option<Duration> {
+        let old = self.active_config.load();
+        let listed: map::Set<&id::Server> = spec.servers.iter().map(|s| &s.name).collect();
+        for server in old.servers.values() {
+            let (name, started_millis) = (&server.spec.name, server.spec.started_millis);
+            if !listed.contains(name) {
+                self.common
+                    .record_removed(name, started_millis, epoch_of(name));
+            }
+        }
+        let added = spec
+            .servers
+            .iter()
+            .filter(|server| !old.handles.contains_key(&server.name));
+        let mut held_for = None;
+        for server in added {
+            let (name, started_millis) = (&server.name, server.started_millis);
+            let held = self
+                .common
+                .record_listed(name, started_millis, epoch_of(name));
+            if held.is_some() {
+                log::info!(service:% = self.name, server:% = name; "config: server that was removed is in a backup of the platform; waiting for its removal");
+            }
+            held_for = held_for.max(held);
+        }
+        held_for
     }
 
     /// Stops sending work to the servers of a service that was removed from the configuration.
@@ -174,7 +222,10 @@
             name: s.spec.name.clone(),
             slots: s.spec.slots,
             local: s.spec.data_centre == self.common.data_centre,
-            leaving: s.spec.leaving || self.common.is_leaving(&s.spec.name, s.spec.started_millis),
+            leaving: s.spec.leaving
+                || self
+                    .common
+                    .is_withdrawn(&s.spec.name, s.spec.started_millis),
             remaining_warm_up: s.spec.remaining_warm_up.0,
             started_millis: s.spec.started_millis,
         };
--- a/crates/proxy/tests/all/host.rs
+++ b/crates/proxy/tests/all/host.rs
@@ -148,6 +148,19 @@
     }
 }
 
+/// Registration of a server at an address.
+pub fn registration(address: net::SocketAddr) -> registration::Registration {
+    registration::Registration {
+        service: "wiredesk".parse().unwrap(),
+        address,
+        data_centre: "attica-a".parse().unwrap(),
+        slots: SLOTS,
+        leaving: false,
+        cold: span::Span::default(),
+        started_millis: SERVER_RUN,
+    }
+}
+
 fn snapshot(
     addresses: &[net::SocketAddr],
     timeout: Duration,
@@ -177,15 +190,7 @@
         .with_object(&object::Key::Routing, 1, routing)
         .unwrap();
     for (number, address) in addresses.iter().enumerate() {
-        let registration = registration::Registration {
-            service: service.clone(),
-            address: *address,
-            data_centre: "attica-a".parse().unwrap(),
-            slots: SLOTS,
-            leaving: false,
-            cold: span::Span::default(),
-            started_millis: SERVER_RUN,
-        };
+        let registration = registration(*address);
         let key = object::Key::Registration(format!("server-{number}").parse().unwrap());
         let value = object::Value::Registration(Some(Box::new(registration)));
         snapshot = snapshot.with_object(&key, 1, value).unwrap();
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -12,3 +12,4 @@
 pub mod size;
 pub mod span;
 pub mod time;
+pub mod version;
