cluster: ask more peers the longer no comparison is answered

Cause: a step that waits in series for processes that may be gone.

Change: the number of peers that are asked doubles each 150 ms, up to 31 in 0.6 s; the first round that nobody answers is repeated soon. While the first peer responds, no other is asked. Besides, the poison code has one constructor for broken attempts and one question for requests that are withheld from the queue.

--- a/crates/cluster/src/spread/compare.rs
+++ b/crates/cluster/src/spread/compare.rs
@@ -6,7 +6,7 @@
 use futures_util::future;
 use monsooncart_config::object;
 use monsooncart_policy::membership::member;
-use monsooncart_policy::rollout::watcher;
+use monsooncart_policy::rollout::{comparison, watcher};
 use monsooncart_wire::configuration;
 use rand::RngExt;
 use rand::seq::IndexedRandom;
@@ -18,13 +18,6 @@
 /// a few milliseconds.
 const HEDGE_DELAY: Duration = Duration::from_millis(300);
 
-/// Delay before a further peer is asked to reconcile, as those before it may be lost unnoticed.
-const RECONCILIATION_HEDGE_DELAY: Duration = Duration::from_millis(150);
-
-/// Maximum number of peers that are asked to reconcile at a time. If four fifths of all are lost, one of
-/// them responds in five cases of six.
-const MAX_RECONCILIATION_PEERS: usize = 8;
-
 /// Maximum number of peers that announced objects are requested from at a time.
 const MAX_PULL_PEERS: usize = 3;
 
@@ -47,6 +40,7 @@
 pub(crate) async fn run(shared: Arc<shared::Shared>) {
     let mut due_at = Instant::now();
     let mut busy_rounds = BUSY_ROUNDS;
+    let mut was_answered = true;
     loop {
         let missing = shared.replica.missing_objects();
         if !missing.is_empty() && pull_announced(&shared, missing).await {
@@ -60,13 +54,15 @@
         // answer.
         let found = tokio::select! {
             found = reconcile(&shared) => found,
-            () = shared.replica.announcement_received.notified() => true,
+            () = shared.replica.announcement_received.notified() => Some(true),
         };
-        busy_rounds = if found {
-            BUSY_ROUNDS
-        } else {
-            busy_rounds.saturating_sub(1)
+        busy_rounds = match found {
+            Some(true) => BUSY_ROUNDS,
+            // Whether there is anything newer is as unknown as before.
+            None if was_answered => BUSY_ROUNDS,
+            _ => busy_rounds.saturating_sub(1),
         };
+        was_answered = found.is_some();
         due_at = Instant::now() + interval(&shared, busy_rounds);
     }
 }
@@ -188,22 +184,23 @@
     !pulls.is_empty() && future::select_ok(pulls).await.is_ok()
 }
 
-/// Reconciles with the first peer that responds; returns whether newer objects were pulled.
-async fn reconcile(shared: &Arc<shared::Shared>) -> bool {
-    let peers = choose_peers(shared, MAX_RECONCILIATION_PEERS);
+/// Reconciles with the first peer that responds; returns whether newer objects were pulled, `None` if no peer
+/// has responded.
+async fn reconcile(shared: &Arc<shared::Shared>) -> Option<bool> {
+    let peers = choose_peers(shared, comparison::MAX_PEERS);
     let calls = peers.into_iter().zip(0..).map(|(peer, index)| {
         Box::pin(async move {
-            tokio::time::sleep(RECONCILIATION_HEDGE_DELAY * index).await;
+            tokio::time::sleep(comparison::ask_delay(index)).await;
             let reconciled = reconcile_with(shared, &peer).await;
             reconciled.inspect_err(|error| log::debug!(error:%; "config: reconciliation failed"))
         })
     });
     let calls: Vec<_> = calls.collect();
     if calls.is_empty() {
-        return false;
+        return Some(false);
     }
     let reconciled = future::select_ok(calls).await;
-    reconciled.is_ok_and(|(found, _)| found)
+    reconciled.ok().map(|(found, _)| found)
 }
 
 /// Compares digests with `peer` and pulls the objects that are newer there.
--- a/crates/policy/src/rollout.rs
+++ b/crates/policy/src/rollout.rs
@@ -10,6 +10,7 @@
 //! members ([`tree`]) and at a limited rate ([`pacer`]). It is read from the platform by a few members
 //! ([`watcher`]).
 
+pub mod comparison;
 pub mod digest;
 pub mod entry;
 pub mod pacer;
--- a/crates/policy/src/selector/admission.rs
+++ b/crates/policy/src/selector/admission.rs
@@ -115,18 +115,13 @@
         }
     }
 
-    /// Whether a request that waits was quarantined meanwhile.
-    fn is_poison(&self, now: time::Time, request: handle::Request) -> bool {
+    /// Whether a request that waits became a suspect of many crashes, or was quarantined, meanwhile.
+    fn is_withheld(&self, now: time::Time, request: handle::Request) -> bool {
         let pending = self.requests.get(&request);
         let fingerprint = pending.and_then(|p| p.arrival.fingerprint);
-        fingerprint.is_some_and(|f| self.poison.quarantined_until(now, f).is_some())
-    }
-
-    /// Whether a request that waits became a suspect of many crashes meanwhile.
-    fn is_grave(&self, request: handle::Request) -> bool {
-        let pending = self.requests.get(&request);
-        let fingerprint = pending.and_then(|p| p.arrival.fingerprint);
-        fingerprint.is_some_and(|f| self.poison.is_grave(f))
+        fingerprint.is_some_and(|f| {
+            self.poison.is_grave(f) || self.poison.quarantined_until(now, f).is_some()
+        })
     }
 
     /// Sends the requests that wait while there is room, and refuses those that can no longer be served
@@ -140,7 +135,7 @@
         }
         while let Some((request, target)) = self.next_from_queue(now) {
             self.queue.take(request);
-            if self.is_grave(request) || self.is_poison(now, request) {
+            if self.is_withheld(now, request) {
                 self.refuse(now, request, outcome::Reason::Overload, actions);
                 continue;
             }
--- a/crates/policy/src/selector/crash.rs
+++ b/crates/policy/src/selector/crash.rs
@@ -4,6 +4,9 @@
 //! lost answer breaks one connection; the server goes on responding on others. So a server is probed after
 //! an attempt broke its connection, and is taken for crashed only if it does not respond, and if the path
 //! to other servers is there.
+//!
+//! A crash ends a run of its server, and the next run may respond within moments. So a later run shows that
+//! the one before it has ended, whatever probes have shown, and so does the removal of a silent server.
 
 use std::time::Duration;
 
@@ -40,6 +43,15 @@
 }
 
 impl Broken {
+    /// An attempt that has just ended; `None` if its request has no fingerprint.
+    fn new(now: time::Time, in_flight: &in_flight::Attempt) -> Option<Self> {
+        Some(Self {
+            fingerprint: in_flight.fingerprint?,
+            sent_at: in_flight.sent_at,
+            at: now,
+        })
+    }
+
     /// Time from which a probe decides whether the server crashed: a loss of the path may have broken the
     /// connection, and ended the probes of that time.
     fn decided_from(&self, path: &path::Path) -> time::Time {
@@ -216,15 +228,10 @@
         in_flight: &in_flight::Attempt,
         actions: &mut Vec<action::Action>,
     ) {
-        if let Some(fingerprint) = in_flight.fingerprint {
-            let broken = Broken {
-                fingerprint,
-                sent_at: in_flight.sent_at,
-                at: now,
-            };
+        if let Some(broken) = Broken::new(now, in_flight) {
             let run = self.crashes.run_of(in_flight);
             self.crashes.record(run, broken);
-            self.record_grave_break(now, in_flight, actions);
+            self.record_grave_break(in_flight, broken, actions);
             self.probe_crashes(now, actions);
         }
     }
@@ -233,20 +240,12 @@
     /// late to keep the request from the next ones.
     fn record_grave_break(
         &mut self,
-        now: time::Time,
         in_flight: &in_flight::Attempt,
+        broken: Broken,
         actions: &mut Vec<action::Action>,
     ) {
-        let Some(fingerprint) = in_flight.fingerprint else {
-            return;
-        };
-        if self.poison.is_grave(fingerprint) {
-            let broken = Broken {
-                fingerprint,
-                sent_at: in_flight.sent_at,
-                at: now,
-            };
-            let run = self.poison.next_run(fingerprint, in_flight.run());
+        if self.poison.is_grave(broken.fingerprint) {
+            let run = self.poison.next_run(broken.fingerprint, in_flight.run());
             self.record_crash(run, broken, actions);
         }
     }
@@ -258,12 +257,7 @@
         in_flight: &in_flight::Attempt,
         actions: &mut Vec<action::Action>,
     ) {
-        if let Some(fingerprint) = in_flight.fingerprint {
-            let broken = Broken {
-                fingerprint,
-                sent_at: in_flight.sent_at,
-                at: now,
-            };
+        if let Some(broken) = Broken::new(now, in_flight) {
             self.record_crash(in_flight.run(), broken, actions);
         }
     }
--- a/crates/policy/tests/rollout/main.rs
+++ b/crates/policy/tests/rollout/main.rs
@@ -1,6 +1,7 @@
 //! Versions of configuration objects: only newer ones are stored, and two daemons that reconcile
 //! converge.
 
+mod comparison;
 mod pacer;
 mod transfer;
 mod tree;
