policy: try a quarantined request once that was answered lately

What callers could see: a popular request that met all crashes of a small service, which other requests caused, was refused for ten minutes with them, though the service was well again once those were refused.

Cause: where hardly any request is answered between crashes, it can't be told from those that cause them.

Change: if it was answered lately, the daemon that decided the quarantine lets one attempt through after 5 s, alone.

--- a/crates/policy/src/balancer/dispatch.rs
+++ b/crates/policy/src/balancer/dispatch.rs
@@ -58,7 +58,11 @@
             self.judge_suspect(now, fingerprint, actions);
         }
         let quarantined = |f| self.poison.quarantined_until(now, f);
-        if let Some(expires_at) = arrival.fingerprint.and_then(quarantined) {
+        let expires_at = arrival.fingerprint.and_then(quarantined);
+        let is_trial = arrival
+            .fingerprint
+            .is_some_and(|f| self.poison.take_trial(now, f));
+        if let Some(expires_at) = expires_at.filter(|_| !is_trial) {
             let refusal = outcome::Refusal {
                 reason: outcome::Reason::Poison,
                 execution: outcome::Execution::NotRun,
--- a/crates/policy/src/poison.rs
+++ b/crates/policy/src/poison.rs
@@ -9,6 +9,9 @@
 //! Of the suspects of one crash only the one with the most crashes is quarantined, and the crashes that it
 //! explains no longer count against the others.
 //!
+//! A request that was answered lately may have been in flight at the crashes of another one all the same. So
+//! one attempt of it is let through soon after its first quarantine began: an answer clears it.
+//!
 //! After a quarantine the request is let through once. If it crashes a server again, it is quarantined for
 //! a longer time; an answer, which means that the servers were mended, clears it.
 //!
@@ -18,6 +21,7 @@
 
 mod exposure;
 mod record;
+mod sound;
 
 use std::time::Duration;
 
@@ -30,6 +34,10 @@
 /// Duration of the first quarantine of a request.
 pub const FIRST_QUARANTINE: Duration = Duration::from_secs(600);
 
+/// Time after which one attempt of a request is let through that was answered before its first quarantine: by
+/// then, another request that caused the crashes is quarantined as well.
+const TRIAL_TIME: Duration = Duration::from_secs(5);
+
 /// Maximum duration of a quarantine.
 pub const MAX_QUARANTINE: Duration = Duration::from_secs(24 * 3600);
 
@@ -74,6 +82,8 @@
     crashed_at: time::Time,
     expires_at: time::Time,
     duration: Duration,
+    /// When one attempt is let through, at the daemon that decided the quarantine.
+    trial_at: Option<time::Time>,
 }
 
 impl Quarantine {
@@ -91,6 +101,7 @@
     exposure: exposure::Exposure,
     /// Time that an answer takes.
     answer_time: Duration,
+    answered: sound::Requests,
 }
 
 impl Detector {
@@ -105,6 +116,19 @@
         (expires_at > now).then_some(expires_at)
     }
 
+    /// Whether one attempt of a quarantined request is let through now. It decides whether the request was
+    /// only in flight at the crashes of another one.
+    pub fn take_trial(&mut self, now: time::Time, fingerprint: handle::Fingerprint) -> bool {
+        let quarantine = self.quarantines.get_mut(&fingerprint);
+        quarantine.is_some_and(|quarantine| {
+            let is_due = quarantine.trial_at.is_some_and(|at| at <= now);
+            if is_due {
+                quarantine.trial_at = None;
+            }
+            is_due
+        })
+    }
+
     /// Whether a fingerprint has a crash on record, or was quarantined.
     #[must_use]
     pub fn is_suspected(&self, fingerprint: handle::Fingerprint) -> bool {
@@ -193,9 +217,13 @@
         }
         let duration = known.map_or(FIRST_QUARANTINE, |q| q.duration * QUARANTINE_GROWTH);
         let duration = duration.min(MAX_QUARANTINE);
+        let has_trial = known.is_none() && self.answered.contains(fingerprint);
         let record = self.records.remove(&fingerprint)?;
         self.explain_crashes(&record);
         self.insert_quarantine(record.last_at(), fingerprint, now + duration, duration);
+        if let Some(quarantine) = self.quarantines.get_mut(&fingerprint) {
+            quarantine.trial_at = has_trial.then(|| now + TRIAL_TIME);
+        }
         let before = record.crashes.iter().rev().skip(1).rev();
         let evidence = before
             .map(|crash| (crash.run.server, crash.evidence))
@@ -247,6 +275,7 @@
         sent_at: time::Time,
     ) -> bool {
         self.exposure.record_answered(now);
+        self.answered.record(fingerprint);
         let before = if self.is_grave(fingerprint) {
             sent_at
         } else {
@@ -340,6 +369,7 @@
             crashed_at,
             expires_at,
             duration,
+            trial_at: None,
         };
         self.quarantines.insert(fingerprint, quarantine);
     }
--- a/crates/policy/src/selector.rs
+++ b/crates/policy/src/selector.rs
@@ -316,6 +316,13 @@
         }
         let quarantined = |f| self.poison.quarantined_until(now, f);
         if let Some(expires_at) = arrival.fingerprint.and_then(quarantined) {
+            if let Some(fingerprint) = arrival.fingerprint
+                && self.poison.take_trial(now, fingerprint)
+            {
+                let pending = pending::Request::new(now, arrival);
+                self.admit_grave(now, fingerprint, pending, actions);
+                return;
+            }
             let refusal = outcome::Refusal {
                 reason: outcome::Reason::Poison,
                 execution: outcome::Execution::NotRun,
--- a/crates/policy/tests/selector/crashes.rs
+++ b/crates/policy/tests/selector/crashes.rs
@@ -430,3 +430,55 @@
     assert!(!harness.policy.is_suspected(fingerprint(2)));
     assert!(is_refused(&mut harness, 1));
 }
+
+/// Quarantines a request for crashes that this daemon knows, after it was answered once or never.
+fn convict(harness: &mut Harness, was_answered: bool) {
+    if was_answered {
+        let sent = send(harness, 1);
+        harness.finish(sent.attempt, outcome::Outcome::Answered(200));
+    }
+    for server in 20..25 {
+        harness.advance(1000 * MS);
+        report_crash(harness, 1, server);
+    }
+    assert!(is_refused(harness, 1));
+}
+
+/// Guards against a request that crashes nothing and stays refused for long, since it was in flight at the
+/// crashes of another one; and against one that crashes servers and is let through for it (BUDGET).
+#[test]
+fn a_quarantined_request_that_was_answered_before_is_tried_once_and_another_is_not() {
+    for was_answered in [true, false] {
+        let mut harness = harness();
+        convict(&mut harness, was_answered);
+
+        harness.advance(Duration::from_secs(60));
+        let mut arrival = harness.arrival(true);
+        arrival.fingerprint = Some(fingerprint(1));
+        let tried = sent_attempts(&harness.handle(event::Event::Arrive(arrival)));
+        let others_are_refused = is_refused(&mut harness, 1);
+
+        assert_eq!(tried.len(), usize::from(was_answered));
+        assert!(others_are_refused);
+        for sent in tried {
+            harness.finish(sent.attempt, outcome::Outcome::Answered(200));
+            assert!(!is_refused(&mut harness, 1), "it was answered");
+        }
+    }
+}
+
+/// Guards against further servers that get a request whose trial ended with a crash (BUDGET).
+#[test]
+fn a_quarantined_request_whose_trial_breaks_stays_refused() {
+    let mut harness = harness();
+    convict(&mut harness, true);
+    harness.advance(Duration::from_secs(60));
+    let trial = send(&mut harness, 1);
+
+    harness.finish(trial.attempt, outcome::Outcome::Broken);
+
+    for _ in 0..8 {
+        harness.advance(Duration::from_secs(60));
+        assert!(is_refused(&mut harness, 1));
+    }
+}
