--- a/crates/policy/src/poison/sound.rs
+++ b/crates/policy/src/poison/sound.rs
@@ -4,8 +4,8 @@
 
 use crate::handle;
 
-/// Number of requests in a generation.
-const MAX_REQUESTS: usize = 4096;
+/// Number of requests in a generation: the frequent ones of a service, which are in many crashes, in a few kilobytes.
+const MAX_REQUESTS: usize = 128;
 
 /// The requests that were answered last, in two generations: the older one goes when the newer one is full.
 #[derive(Debug, Default)]
